core, io: value types, interfaces, error kinds and header codec

The parts that are built side by side need agreed types first: the call, the closed list of error kinds with its table to answers, the interfaces of the root package, and the headers that carry a call between hops.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,23 @@
+export GOFLAGS := -buildvcs=false
+GO ?= go
+
+.PHONY: build test demo measure capacity soak generate fmt lint ci
+
+build:
+	$(GO) build -o bin/ ./cmd/...
+
+test:
+	$(GO) test -race -timeout 20m ./...
+
+generate:
+	@if [ -d proto ]; then PATH="$$(.ci/tools):$$PATH" buf generate; fi
+	@PATH="$$(.ci/tools):$$PATH" $(GO) generate ./...
+
+fmt:
+	PATH="$$(.ci/tools):$$PATH" golangci-lint fmt
+
+lint:
+	PATH="$$(.ci/tools):$$PATH" golangci-lint run ./...
+
+ci:
+	.ci/run
--- /dev/null
+++ b/core/fault/kind.go
@@ -0,0 +1,158 @@
+// Package fault is the closed list of error kinds and the answer that each one gives to a caller.
+//
+// Every error that leaves a node has one kind. The kind decides three things: the HTTP status, the outcome that the
+// caller is told, and whether the same request may be sent again. The outcome is a promise: NotExecuted is used only
+// for kinds that are raised before a byte of the request could have reached a target, or that the target itself
+// reported before it started.
+package fault
+
+import "net/http"
+
+// Outcome is what a caller is told about the execution of its request.
+type Outcome uint8
+
+// Outcomes.
+const (
+	Unknown Outcome = iota
+	NotExecuted
+	Executed
+)
+
+// String returns the name used in headers and logs.
+func (o Outcome) String() string {
+	switch o {
+	case NotExecuted:
+		return "not-executed"
+	case Executed:
+		return "executed"
+	default:
+		return "unknown"
+	}
+}
+
+// Kind is one entry of the closed list of error kinds.
+type Kind uint8
+
+// Error kinds. None is success.
+const (
+	None Kind = iota
+	BadRequest
+	RequestIDNotIssued
+	RequestIDReused
+	RequestIDExpired
+	CallKeyMissing
+	UnknownService
+	UnknownMethod
+	LoopDetected
+	DepthExceeded
+	DeadlinePassed
+	DeadlineExceeded
+	Shed
+	QueueFull
+	Draining
+	NotReady
+	NoTarget
+	WrongIncarnation
+	Fenced
+	Quarantined
+	TargetFailed
+	TargetRefused
+	AnswerCut
+	PeerUnreachable
+	PeerLost
+	OutcomeUnknown
+	AlreadyExecuted
+	InProgress
+	LedgerFull
+	RetryBudgetExhausted
+	Canceled
+	NotFound
+	Conflict
+	ConfigInvalid
+	PlatformUnavailable
+	WriteUnknown
+	Internal
+	kinds
+)
+
+// Answer is what a kind means to a caller.
+type Answer struct {
+	Name    string
+	Status  int
+	Outcome Outcome
+	Retry   bool // the same request may be sent again, idempotent or not
+	Meaning string
+}
+
+// StatusCanceled is the status for a call that its caller gave up. It is never seen by that caller.
+const StatusCanceled = 499
+
+var answers = [kinds]Answer{
+	None:                 {"none", http.StatusOK, Executed, false, "success"},
+	BadRequest:           {"bad-request", http.StatusBadRequest, NotExecuted, false, "a header or the path is malformed"},
+	RequestIDNotIssued:   {"request-id-not-issued", http.StatusBadRequest, NotExecuted, false, "a non-idempotent request needs an issued request id"},
+	RequestIDReused:      {"request-id-reused", http.StatusConflict, NotExecuted, false, "the request id belongs to another request"},
+	RequestIDExpired:     {"request-id-expired", http.StatusGone, Unknown, false, "the request id is past its window; this attempt was not started"},
+	CallKeyMissing:       {"call-key-missing", http.StatusBadRequest, NotExecuted, false, "a non-idempotent call below an idempotent one needs a call key"},
+	UnknownService:       {"unknown-service", http.StatusNotFound, NotExecuted, false, "the configuration has no such service"},
+	UnknownMethod:        {"unknown-method", http.StatusNotFound, NotExecuted, false, "the service has no such method"},
+	LoopDetected:         {"loop-detected", http.StatusLoopDetected, NotExecuted, false, "the service is already on the path of the call"},
+	DepthExceeded:        {"depth-exceeded", http.StatusLoopDetected, NotExecuted, false, "the chain is deeper than allowed"},
+	DeadlinePassed:       {"deadline-passed", http.StatusGatewayTimeout, NotExecuted, false, "the deadline passed before the request started"},
+	DeadlineExceeded:     {"deadline-exceeded", http.StatusGatewayTimeout, Unknown, false, "the deadline passed while the request ran"},
+	Shed:                 {"shed", http.StatusServiceUnavailable, NotExecuted, true, "load was shed; see retry-after-ms"},
+	QueueFull:            {"queue-full", http.StatusServiceUnavailable, NotExecuted, true, "the queue in front of the target is full"},
+	Draining:             {"draining", http.StatusServiceUnavailable, NotExecuted, true, "the target or node is leaving"},
+	NotReady:             {"not-ready", http.StatusServiceUnavailable, NotExecuted, true, "the node has no target or no configuration yet"},
+	NoTarget:             {"no-target", http.StatusServiceUnavailable, NotExecuted, true, "no target of the service is reachable"},
+	WrongIncarnation:     {"wrong-incarnation", http.StatusMisdirectedRequest, NotExecuted, true, "the call was addressed to an earlier process on this address"},
+	Fenced:               {"fenced", http.StatusConflict, NotExecuted, false, "the owner of the request has withdrawn this attempt"},
+	Quarantined:          {"quarantined", http.StatusUnprocessableEntity, NotExecuted, false, "requests like this one have crashed targets"},
+	TargetFailed:         {"target-failed", http.StatusBadGateway, Unknown, false, "the connection to the target broke"},
+	TargetRefused:        {"target-refused", http.StatusServiceUnavailable, NotExecuted, true, "the target refused before it started"},
+	AnswerCut:            {"answer-cut", http.StatusBadGateway, Unknown, false, "the answer broke off before its end"},
+	PeerUnreachable:      {"peer-unreachable", http.StatusServiceUnavailable, NotExecuted, true, "no connection to the target's node"},
+	PeerLost:             {"peer-lost", http.StatusBadGateway, Unknown, false, "the connection to the target's node broke"},
+	OutcomeUnknown:       {"outcome-unknown", http.StatusBadGateway, Unknown, false, "the request may have run earlier; this attempt did not start it"},
+	AlreadyExecuted:      {"already-executed", http.StatusConflict, Executed, false, "the request ran earlier and its answer is no longer held"},
+	InProgress:           {"in-progress", http.StatusConflict, Unknown, false, "an earlier attempt is still running"},
+	LedgerFull:           {"ledger-full", http.StatusServiceUnavailable, NotExecuted, true, "no room to record another non-idempotent request"},
+	RetryBudgetExhausted: {"retry-budget-exhausted", http.StatusServiceUnavailable, NotExecuted, false, "the request has no retries left"},
+	Canceled:             {"canceled", StatusCanceled, Unknown, false, "the caller gave up"},
+	NotFound:             {"not-found", http.StatusNotFound, NotExecuted, false, "the object does not exist"},
+	Conflict:             {"conflict", http.StatusConflict, NotExecuted, false, "another change came first"},
+	ConfigInvalid:        {"config-invalid", http.StatusBadRequest, NotExecuted, false, "the configuration has faults"},
+	PlatformUnavailable:  {"platform-unavailable", http.StatusServiceUnavailable, NotExecuted, true, "the platform does not answer"},
+	WriteUnknown:         {"write-unknown", http.StatusBadGateway, Unknown, false, "the write may have taken effect"},
+	Internal:             {"internal", http.StatusInternalServerError, Unknown, false, "a fault of the node itself"},
+}
+
+// Answer returns the row of the table for k. Values outside the list answer as Internal.
+func (k Kind) Answer() Answer {
+	if k >= kinds {
+		return answers[Internal]
+	}
+	return answers[k]
+}
+
+// String returns the kind's name in headers and logs.
+func (k Kind) String() string { return k.Answer().Name }
+
+// Kinds returns every error kind, None left out.
+func Kinds() []Kind {
+	ks := make([]Kind, 0, kinds-1)
+	for k := None + 1; k < kinds; k++ {
+		ks = append(ks, k)
+	}
+	return ks
+}
+
+// Parse returns the kind with this name.
+func Parse(name string) (Kind, bool) {
+	for k, a := range answers {
+		if a.Name == name {
+			return Kind(k), true
+		}
+	}
+	return Internal, false
+}
--- /dev/null
+++ b/io/header/answer.go
@@ -0,0 +1,79 @@
+package header
+
+import (
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"mustardmast"
+	"mustardmast/core/fault"
+)
+
+// WriteError writes the whole answer for err: status, outcome, kind and a JSON body.
+func WriteError(w http.ResponseWriter, id string, err error) {
+	e := fault.From(err)
+	h := w.Header()
+	h.Del("Content-Length")
+	h.Set("Content-Type", "application/json")
+	h.Set(RequestID, id)
+	h.Set(Outcome, e.Outcome().String())
+	h.Set(Error, e.Kind().String())
+	if d := e.RetryAfter(); d > 0 {
+		h.Set(RetryAfterMS, strconv.FormatInt(d.Milliseconds(), 10))
+		h.Set("Retry-After", strconv.FormatInt(int64((d+time.Second-1)/time.Second), 10))
+	}
+	w.WriteHeader(e.Kind().Answer().Status)
+	body := `{"error":` + strconv.Quote(e.Kind().String()) + `,"outcome":` + strconv.Quote(e.Outcome().String()) +
+		`,"request-id":` + strconv.Quote(id) + `,"detail":` + strconv.Quote(e.Detail()) + "}\n"
+	_, _ = w.Write([]byte(body)) // the caller may have gone; there is nobody left to tell
+}
+
+// ReadError returns the error that an answer carries, or nil when it carries none. The outcome is the one that the
+// answer states, because a node may know more than the kind alone says.
+func ReadError(h http.Header) *fault.Error {
+	name := h.Get(Error)
+	if name == "" {
+		return nil
+	}
+	k, ok := fault.Parse(name)
+	if !ok {
+		return fault.Newf(fault.Internal, "answer has unknown error kind %q", name)
+	}
+	e := fault.New(k, "reported by the next node")
+	switch h.Get(Outcome) {
+	case fault.NotExecuted.String():
+		e = e.WithOutcome(fault.NotExecuted)
+	case fault.Executed.String():
+		e = e.WithOutcome(fault.Executed)
+	default:
+		e = e.WithOutcome(fault.Unknown)
+	}
+	if ms, err := strconv.Atoi(h.Get(RetryAfterMS)); err == nil && ms > 0 {
+		e = e.WithRetryAfter(time.Duration(ms) * time.Millisecond)
+	}
+	return e
+}
+
+// WriteLoad sets the load report of an answer: in flight, queued, limit, age in milliseconds.
+func WriteLoad(h http.Header, l mustardmast.Load) {
+	h.Set(Load, strconv.FormatUint(uint64(l.InFlight), 10)+","+strconv.FormatUint(uint64(l.Queued), 10)+","+
+		strconv.FormatUint(uint64(l.Limit), 10)+","+strconv.FormatInt(l.Age.Milliseconds(), 10))
+}
+
+// ReadLoad returns the load report of an answer.
+func ReadLoad(h http.Header) (mustardmast.Load, bool) {
+	parts := strings.Split(h.Get(Load), ",")
+	if len(parts) != 4 {
+		return mustardmast.Load{}, false
+	}
+	var n [4]uint32
+	for i, p := range parts {
+		v, err := strconv.ParseUint(p, 10, 32)
+		if err != nil {
+			return mustardmast.Load{}, false
+		}
+		n[i] = uint32(v)
+	}
+	return mustardmast.Load{InFlight: n[0], Queued: n[1], Limit: n[2], Age: time.Duration(n[3]) * time.Millisecond}, true
+}
--- /dev/null
+++ b/picker.go
@@ -0,0 +1,30 @@
+package mustardmast
+
+import (
+	"time"
+
+	"mustardmast/core/call"
+	"mustardmast/core/fault"
+)
+
+// Result is how one send to a member ended.
+type Result struct {
+	Member  NodeID
+	Service string
+	Latency time.Duration
+	Kind    fault.Kind // fault.None on success
+	Load    Load
+	HasLoad bool
+}
+
+// Picker chooses the member that gets a call.
+type Picker interface {
+	// Pick chooses among candidates, passing over those in tried, and counts the call as in flight there.
+	Pick(now time.Time, c call.Call, candidates []Member, tried []NodeID) (Member, bool)
+
+	// Done ends a send that Pick counted.
+	Done(now time.Time, r Result)
+
+	// HedgeAfter returns how long to wait for a first answer before a second send, and false when none is allowed.
+	HedgeAfter(now time.Time, c call.Call) (time.Duration, bool)
+}
