--- /dev/null
+++ b/io/execute/waiters.go
@@ -0,0 +1,48 @@
+package execute
+
+import (
+	"sync"
+
+	"mustardmast"
+)
+
+// waiters connects verdicts of the admission with the calls that wait for them.
+type waiters struct {
+	mu sync.Mutex
+	m  map[uint64]chan mustardmast.Verdict
+}
+
+func (w *waiters) expect(ticket uint64) chan mustardmast.Verdict {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.m == nil {
+		w.m = map[uint64]chan mustardmast.Verdict{}
+	}
+	c := make(chan mustardmast.Verdict, 1)
+	w.m[ticket] = c
+	return c
+}
+
+func (w *waiters) forget(ticket uint64) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	delete(w.m, ticket)
+}
+
+// deliver returns the tickets that were granted a slot but whose call no longer waits.
+func (w *waiters) deliver(vs []mustardmast.Verdict) (unclaimed []uint64) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, v := range vs {
+		c, ok := w.m[v.Ticket]
+		if ok {
+			delete(w.m, v.Ticket)
+			c <- v
+			continue
+		}
+		if v.Action == mustardmast.Run {
+			unclaimed = append(unclaimed, v.Ticket)
+		}
+	}
+	return unclaimed
+}
--- /dev/null
+++ b/io/message/body_test.go
@@ -0,0 +1,57 @@
+package message_test
+
+import (
+	"bytes"
+	"io"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"mustardmast/io/message"
+)
+
+// Guards against a second send that carries a body without its first bytes.
+func TestShortBodyOpensAgain(t *testing.T) {
+	for _, length := range []int64{5, -1} {
+		b, err := message.NewBody(strings.NewReader("hello"), length)
+		assert.NilError(t, err)
+		for range 2 {
+			r, ok := b.Open()
+			assert.Assert(t, ok)
+			got, err := io.ReadAll(r)
+			assert.NilError(t, err)
+			assert.Equal(t, string(got), "hello")
+		}
+	}
+}
+
+// Guards against a failed send whose transport still reads the body while the next send does.
+func TestOlderReaderIsClosed(t *testing.T) {
+	b, err := message.NewBody(strings.NewReader("hello"), 5)
+	assert.NilError(t, err)
+	old, _ := b.Open()
+	_, _ = b.Open()
+	_, err = old.Read(make([]byte, 1))
+	assert.ErrorIs(t, err, io.ErrClosedPipe)
+}
+
+// Guards against a large upload that is sent again from its middle.
+func TestLargeBodyOpensOnce(t *testing.T) {
+	data := bytes.Repeat([]byte("x"), message.PrefixSize+10)
+	b, err := message.NewBody(bytes.NewReader(data), int64(len(data)))
+	assert.NilError(t, err)
+	r, ok := b.Open()
+	assert.Assert(t, ok)
+	got, err := io.ReadAll(r)
+	assert.NilError(t, err)
+	assert.Equal(t, len(got), len(data))
+	_, ok = b.Open()
+	assert.Assert(t, !ok)
+}
+
+// Guards against a declared length that a caller does not keep.
+func TestCutBodyIsAnError(t *testing.T) {
+	_, err := message.NewBody(strings.NewReader("hel"), 5)
+	assert.ErrorIs(t, err, io.ErrUnexpectedEOF)
+}
--- /dev/null
+++ b/io/message/hop.go
@@ -0,0 +1,37 @@
+package message
+
+import (
+	"net/http"
+	"strings"
+
+	"mustardmast/core/fault"
+)
+
+// hopHeaders concern one connection only and are never passed on.
+var hopHeaders = []string{
+	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Proxy-Connection", "Te", "Trailer",
+	"Transfer-Encoding", "Upgrade",
+}
+
+// CopyHeader copies the headers that are meant for the far end from one message to another.
+func CopyHeader(to, from http.Header) {
+	named := strings.Split(from.Get("Connection"), ",")
+	for k, v := range from {
+		to[k] = append([]string(nil), v...)
+	}
+	for _, k := range named {
+		to.Del(strings.TrimSpace(k))
+	}
+	for _, k := range hopHeaders {
+		to.Del(k)
+	}
+}
+
+// SplitPath returns the service and the method of a path /service/method, to which more elements may be added.
+func SplitPath(path string) (service, method string, err error) {
+	parts := strings.SplitN(strings.TrimPrefix(path, "/"), "/", 3)
+	if len(parts) < 2 || parts[0] == "" || parts[1] == "" {
+		return "", "", fault.Newf(fault.BadRequest, "path %q; expected /<service>/<method>", path)
+	}
+	return parts[0], parts[1], nil
+}
--- /dev/null
+++ b/io/peer/client.go
@@ -0,0 +1,116 @@
+package peer
+
+import (
+	"context"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+
+	"mustardmast"
+	"mustardmast/core/call"
+	"mustardmast/core/fault"
+	"mustardmast/io/execute"
+	"mustardmast/io/header"
+	"mustardmast/io/message"
+	"mustardmast/io/outbound"
+)
+
+// Client sends calls to other nodes.
+type Client struct {
+	clock     mustardmast.Clock
+	transport *http.Transport
+	sender    *outbound.Sender
+}
+
+// NewClient returns a client. Calls to one node share connections as HTTP/2 streams, because opening a connection costs
+// about a millisecond.
+func NewClient(clock mustardmast.Clock) *Client {
+	var p http.Protocols
+	p.SetUnencryptedHTTP2(true)
+	t := &http.Transport{
+		Protocols:             &p,
+		MaxIdleConnsPerHost:   8,
+		IdleConnTimeout:       90 * time.Second,
+		DisableCompression:    true,
+		ExpectContinueTimeout: time.Second,
+	}
+	return &Client{clock: clock, transport: t, sender: outbound.New(t, fault.PeerUnreachable, fault.PeerLost, "target's node")}
+}
+
+// Close closes idle connections.
+func (c *Client) Close() { c.transport.CloseIdleConnections() }
+
+// Execute sends the call to the node m, which runs it on the target of its host.
+func (c *Client) Execute(ctx context.Context, m mustardmast.Member, r *message.Request, h execute.Hop) (execute.Answer, error) {
+	return c.send(ctx, m, executePath, r, h)
+}
+
+// Own sends the call to the node m, which issued the request id and decides whether the request may start.
+func (c *Client) Own(ctx context.Context, m mustardmast.Member, r *message.Request) (execute.Answer, error) {
+	return c.send(ctx, m, ownPath, r, execute.Hop{Addressed: m.ID})
+}
+
+func (c *Client) send(ctx context.Context, m mustardmast.Member, path string, r *message.Request, h execute.Hop) (execute.Answer, error) {
+	none := execute.Answer{Level: mustardmast.FullLevel}
+	out, err := c.request(m, path, r, h)
+	if err != nil {
+		return none, err
+	}
+	res, err := c.sender.Send(ctx, out)
+	if err != nil {
+		if fault.From(err).Outcome() == fault.NotExecuted {
+			none.Retries = r.Call.Retries()
+		}
+		return none, err
+	}
+	return c.answer(r.Call, res)
+}
+
+func (c *Client) request(m mustardmast.Member, path string, r *message.Request, h execute.Hop) (*http.Request, error) {
+	u, err := url.ParseRequestURI(path + r.URI)
+	if err != nil {
+		return nil, fault.Newf(fault.BadRequest, "path %q", r.URI)
+	}
+	u.Scheme, u.Host = "http", m.Address.String()
+	head := make(http.Header, len(r.Header)+16)
+	message.CopyHeader(head, r.Header)
+	header.WriteCall(head, c.clock.Now(), r.Call)
+	header.WriteHop(head, r.Call, header.Hop{
+		Incarnation: uint64(h.Addressed), Nonce: h.Nonce, Digest: r.Digest, Withheld: h.Withheld,
+	})
+	out := &http.Request{Method: r.Method, URL: u, Host: u.Host, Header: head}
+	if !r.Body.Whole() {
+		// A refusal is cheaper than an upload that is thrown away.
+		head.Set("Expect", "100-continue")
+	}
+	return out, outbound.SetBody(out, r.Body)
+}
+
+// answer checks that the response belongs to the call and takes off what the node added.
+func (c *Client) answer(sent call.Call, res *http.Response) (execute.Answer, error) {
+	a := execute.Answer{Level: mustardmast.FullLevel}
+	if got := res.Header.Get(header.RequestID); got != sent.ID() || res.Header.Get(header.Outcome) == "" {
+		_ = res.Body.Close()
+		return a, fault.Newf(fault.PeerLost, "the response is for request %q", got)
+	}
+	if l, ok := header.ReadLoad(res.Header); ok {
+		a.Load = l
+	}
+	if n, err := strconv.Atoi(res.Header.Get(header.AdmissionLevel)); err == nil && n >= 0 && n <= call.Cohorts {
+		a.Level = mustardmast.Level(n)
+	}
+	left, _ := strconv.Atoi(res.Header.Get(header.RetryBudget)) // absent: nothing comes back
+	a.Retries = max(0, min(left, sent.Retries()))
+	if err := header.ReadError(res.Header); err != nil {
+		_ = res.Body.Close()
+		return a, err
+	}
+	for _, k := range []string{header.Load, header.AdmissionLevel, header.RetryBudget} {
+		res.Header.Del(k)
+	}
+	a.Response = &message.Response{
+		Status: res.StatusCode, Header: res.Header, Body: cutReader{res.Body}, Length: res.ContentLength,
+	}
+	return a, nil
+}
--- /dev/null
+++ b/io/peer/server.go
@@ -0,0 +1,110 @@
+// Package peer is the data path between nodes: calls travel as HTTP/2 streams, with headers that say which node
+// incarnation they are meant for, and responses carry the outcome, the load and the admission level back.
+package peer
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+
+	"mustardmast"
+	"mustardmast/core/call"
+	"mustardmast/core/fault"
+	"mustardmast/io/execute"
+	"mustardmast/io/header"
+	"mustardmast/io/message"
+)
+
+const (
+	executePath = "/mustardmast/v1/execute"
+	ownPath     = "/mustardmast/v1/own"
+)
+
+// Runner runs a call, on the target of this host or as the owner of its request id.
+type Runner interface {
+	Execute(ctx context.Context, r *message.Request, h execute.Hop) (execute.Answer, error)
+}
+
+// Server takes calls from other nodes.
+type Server struct {
+	clock    mustardmast.Clock
+	executor Runner
+	owner    Runner
+}
+
+// NewServer returns a server that gives calls to the executor of this host's target or to the owner of request ids.
+func NewServer(clock mustardmast.Clock, executor, owner Runner) *Server {
+	return &Server{clock: clock, executor: executor, owner: owner}
+}
+
+// Mount adds the server's paths to m.
+func (s *Server) Mount(m *http.ServeMux) {
+	m.Handle(executePath+"/", s.handler(executePath, s.executor))
+	m.Handle(ownPath+"/", s.handler(ownPath, s.owner))
+}
+
+func (s *Server) handler(prefix string, run Runner) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
+		r, h, err := s.read(prefix, q)
+		if err != nil {
+			header.WriteError(w, q.Header.Get(header.RequestID), err)
+			return
+		}
+		ctx, cancel := withDeadline(q.Context(), r.Call)
+		defer cancel()
+		a, err := run.Execute(ctx, r, h)
+		header.WriteLoad(w.Header(), a.Load)
+		w.Header().Set(header.AdmissionLevel, strconv.Itoa(int(a.Level)))
+		w.Header().Set(header.RetryBudget, strconv.Itoa(a.Retries))
+		if err != nil {
+			header.WriteError(w, r.Call.ID(), err)
+			return
+		}
+		message.Write(w, r.Call.ID(), a.Response)
+	})
+}
+
+func withDeadline(ctx context.Context, c call.Call) (context.Context, context.CancelFunc) {
+	if c.Deadline().IsZero() {
+		return context.WithCancel(ctx)
+	}
+	return context.WithDeadline(ctx, c.Deadline())
+}
+
+func (s *Server) read(prefix string, q *http.Request) (*message.Request, execute.Hop, error) {
+	uri := strings.TrimPrefix(q.RequestURI, prefix)
+	var spec call.Spec
+	if err := header.ReadCall(q.Header, s.clock.Now(), &spec); err != nil {
+		return nil, execute.Hop{}, err
+	}
+	p, err := header.ReadHop(q.Header, &spec)
+	if err != nil {
+		return nil, execute.Hop{}, err
+	}
+	spec.Service, spec.Method, err = message.SplitPath(strings.TrimPrefix(q.URL.Path, prefix))
+	if err != nil {
+		return nil, execute.Hop{}, err
+	}
+	h := make(http.Header, len(q.Header))
+	message.CopyHeader(h, q.Header)
+	header.RemoveHop(h)
+	h.Del("Expect") // belonged to the connection between the nodes
+	r := &message.Request{
+		Call: call.New(spec), Method: q.Method, URI: uri, Header: h, Digest: p.Digest,
+		Body: message.StreamBody(q.Body, q.ContentLength),
+	}
+	return r, execute.Hop{Addressed: mustardmast.NodeID(p.Incarnation), Nonce: p.Nonce, Withheld: p.Withheld}, nil
+}
+
+// cutReader gives a response that breaks off its error kind.
+type cutReader struct{ io.ReadCloser }
+
+func (c cutReader) Read(p []byte) (int, error) {
+	n, err := c.ReadCloser.Read(p)
+	if err != nil && err != io.EOF {
+		err = fault.Wrap(err, fault.AnswerCut, "read the response of the target's node")
+	}
+	return n, err
+}
