core/admit: admitter with fixed limit, priority queue and bounded wait

Cause: the node needs a working mustardmast.Admitter to be wired against. Ruled out: sharding the state by ticket; one target has one set of slots, so every decision needs the same counters, and one lock costs about 0.2 us a call. Before/after: new code. Conclusion: the constructor admit.New(Spec) stays as it is; limit and levels follow behind it.

--- /dev/null
+++ b/core/admit/admit_test.go
@@ -0,0 +1,173 @@
+package admit_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"mustardmast"
+	"mustardmast/core/admit"
+	"mustardmast/core/call"
+	"mustardmast/core/config"
+	"mustardmast/core/fault"
+)
+
+var epoch = time.Unix(1000, 0)
+
+var backers = []config.Backer{{Name: "a", SharePercent: 70}, {Name: "b", SharePercent: 30}}
+
+func work(ticket uint64, p call.Priority, backer string, deadline time.Duration) mustardmast.Work {
+	c := call.New(call.Spec{ID: fmt.Sprint(ticket), Method: "m", Priority: p, Backer: backer})
+	return mustardmast.Work{Ticket: ticket, Call: c, Deadline: epoch.Add(deadline)}
+}
+
+// Guards against lost slots, more calls running than the limit, and tickets that get no final verdict or two.
+func TestEveryTicketIsAnsweredOnce(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		slots := rapid.IntRange(1, 8).Draw(t, "slots")
+		a := admit.New(admit.Spec{Slots: slots, Backers: backers, QueueLength: rapid.IntRange(1, 6).Draw(t, "queue")})
+		m := machine{t: t, a: a, slots: slots, now: epoch, waiting: map[uint64]bool{}, running: map[uint64]bool{}}
+		t.Repeat(map[string]func(*rapid.T){
+			"offer":  m.offer,
+			"done":   m.done,
+			"cancel": m.cancel,
+			"tick":   m.tick,
+			"config": m.config,
+			"":       m.check,
+		})
+		m.drain()
+	})
+}
+
+type machine struct {
+	t                *rapid.T
+	a                *admit.Admitter
+	slots            int
+	now              time.Time
+	next             uint64
+	waiting, running map[uint64]bool
+}
+
+func (m *machine) offer(t *rapid.T) {
+	m.next++
+	p := call.Priority(rapid.IntRange(0, 3).Draw(t, "priority"))
+	b := rapid.SampledFrom([]string{"a", "b", "invented"}).Draw(t, "backer")
+	w := work(m.next, p, b, m.now.Sub(epoch)+time.Duration(rapid.IntRange(-5, 200).Draw(t, "deadline"))*time.Millisecond)
+	w.Long = rapid.Bool().Draw(t, "long")
+	w.Withheld = uint32(rapid.IntRange(0, 50).Draw(t, "withheld"))
+	switch v := m.a.Offer(m.now, w); v.Action {
+	case mustardmast.Run:
+		m.running[m.next] = true
+	case mustardmast.Wait:
+		m.waiting[m.next] = true
+	default:
+		assert.Equal(t, v.Kind.Answer().Outcome, fault.NotExecuted)
+	}
+}
+
+func (m *machine) take(vs []mustardmast.Verdict) {
+	for _, v := range vs {
+		assert.Assert(m.t, m.waiting[v.Ticket], "verdict %v for ticket %d that does not wait", v.Action, v.Ticket)
+		assert.Assert(m.t, v.Action != mustardmast.Wait)
+		delete(m.waiting, v.Ticket)
+		if v.Action == mustardmast.Run {
+			m.running[v.Ticket] = true
+		}
+	}
+}
+
+func (m *machine) done(t *rapid.T) {
+	for id := range m.running {
+		delete(m.running, id)
+		d := time.Duration(rapid.IntRange(1, 300).Draw(t, "latency")) * time.Millisecond
+		m.take(m.a.Done(m.now, mustardmast.Completion{Ticket: id, Latency: d}))
+		assert.Assert(t, len(m.a.Done(m.now, mustardmast.Completion{Ticket: id})) == 0, "a slot was given back twice")
+		return
+	}
+}
+
+func (m *machine) cancel(*rapid.T) {
+	for id := range m.waiting {
+		m.a.Cancel(m.now, id)
+		delete(m.waiting, id)
+		return
+	}
+}
+
+func (m *machine) tick(t *rapid.T) {
+	m.now = m.now.Add(time.Duration(rapid.IntRange(1, 400).Draw(t, "ms")) * time.Millisecond)
+	m.take(m.a.Tick(m.now))
+}
+
+func (m *machine) config(t *rapid.T) {
+	m.a.SetBackers(m.now, backers[:rapid.IntRange(0, 2).Draw(t, "backers")])
+}
+
+func (m *machine) check(t *rapid.T) {
+	l := m.a.Load(m.now)
+	assert.Equal(t, int(l.InFlight), len(m.running))
+	assert.Assert(t, int(l.Limit) >= 1 && int(l.Limit) <= m.slots)
+	assert.Assert(t, len(m.running) <= m.slots)
+	for p := call.Critical; p < call.Low; p++ {
+		for _, b := range []string{"a", "b", "invented"} {
+			assert.Assert(t, m.a.LevelFor(m.now, p, b) >= m.a.LevelFor(m.now, p+1, b), "level rises as importance falls")
+		}
+	}
+}
+
+func (m *machine) drain() {
+	m.now = m.now.Add(time.Minute)
+	m.take(m.a.Tick(m.now))
+	assert.Equal(m.t, len(m.waiting), 0)
+	for id := range m.running {
+		m.a.Done(m.now, mustardmast.Completion{Ticket: id})
+	}
+	assert.Equal(m.t, m.a.Load(m.now).InFlight, uint32(0))
+}
+
+func ExampleAdmitter() {
+	a := admit.New(admit.Spec{Slots: 1, Backers: backers})
+	fmt.Println(a.Offer(epoch, work(1, call.Normal, "a", time.Second)).Action == mustardmast.Run)
+	fmt.Println(a.Offer(epoch, work(2, call.Normal, "a", time.Second)).Action == mustardmast.Wait)
+	fmt.Println(a.Offer(epoch, work(3, call.Critical, "b", time.Second)).Action == mustardmast.Wait)
+	vs := a.Done(epoch.Add(time.Millisecond), mustardmast.Completion{Ticket: 1, Latency: time.Millisecond})
+	fmt.Println(vs[0].Ticket, vs[0].Action == mustardmast.Run)
+	// Output:
+	// true
+	// true
+	// true
+	// 3 true
+}
+
+func BenchmarkOfferDone(b *testing.B) {
+	a := admit.New(admit.Spec{Slots: 100, Backers: backers})
+	w := work(1, call.High, "a", time.Hour)
+	b.ReportAllocs()
+	for b.Loop() {
+		w.Ticket++
+		a.Offer(epoch, w)
+		a.Done(epoch, mustardmast.Completion{Ticket: w.Ticket, Latency: time.Millisecond})
+	}
+}
+
+func BenchmarkOfferDoneWithQueue(b *testing.B) {
+	a := admit.New(admit.Spec{Slots: 100, Backers: backers})
+	w := work(1, call.High, "a", time.Hour)
+	for range 150 {
+		w.Ticket++
+		a.Offer(epoch, w)
+	}
+	next := uint64(2)
+	b.ReportAllocs()
+	for b.Loop() {
+		w.Ticket++
+		a.Offer(epoch, w)
+		for _, v := range a.Done(epoch, mustardmast.Completion{Ticket: next, Latency: time.Millisecond}) {
+			_ = v
+		}
+		next++
+	}
+}
--- /dev/null
+++ b/core/queue/queue.go
@@ -0,0 +1,261 @@
+// Package queue is the short queue in front of a target.
+//
+// It is bounded in length and in time, because a long queue only turns overload into late answers. Work is ordered by
+// priority. Within a priority, start-time fair queueing gives each backer turns in proportion to its weight: every
+// flow has a start tag, the flow with the smallest tag is served, and its tag advances by the cost of the item over
+// the weight of the flow. Within a flow the earliest deadline comes first.
+//
+// Each item has a latest start: the end of its waiting time, or its deadline less the time that it takes to run,
+// whichever is earlier. An item past its latest start is never returned by Pop; TakeExpired returns it.
+//
+// A Queue is not safe for concurrent use; core/admit holds it under its lock.
+package queue
+
+import (
+	"container/heap"
+	"time"
+
+	"mustardmast/core/call"
+)
+
+// Item is one call that waits.
+type Item struct {
+	Ticket   uint64
+	Priority call.Priority
+	Backer   int       // index into the weights
+	Deadline time.Time // zero means none
+	Long     bool
+	Cost     float64       // turns that the item takes, 1 if zero
+	Expected time.Duration // least time that the item takes to run
+	Wait     time.Duration // bound on the time in the queue; 0 means the bound of the queue
+
+	latest time.Time
+	since  time.Time
+}
+
+// Since returns when the item was queued.
+func (i Item) Since() time.Time { return i.since }
+
+// Spec has the parts of a Queue by name.
+type Spec struct {
+	Length  int           // bound on the number of items
+	Wait    time.Duration // bound on the time that an item waits
+	Weights []float64     // one per backer
+}
+
+// Queue is a bounded priority queue. Use New.
+type Queue struct {
+	length  int
+	wait    time.Duration
+	weights []float64
+	flows   []flow // by priority, backer and cost class
+	lanes   [call.Priorities]lane
+	items   map[uint64]*entry
+	expired []Item
+}
+
+// lane holds the flows of one priority that have items.
+type lane struct {
+	active  []*flow
+	virtual float64 // start tag of the last item served
+	count   int
+}
+
+// New returns an empty queue. It has at least one backer.
+func New(s Spec) *Queue {
+	if len(s.Weights) == 0 {
+		s.Weights = []float64{1}
+	}
+	q := &Queue{
+		length:  max(s.Length, 0),
+		wait:    s.Wait,
+		weights: append([]float64(nil), s.Weights...),
+		flows:   make([]flow, call.Priorities*len(s.Weights)*2),
+		items:   make(map[uint64]*entry, s.Length),
+	}
+	for i := range q.flows {
+		q.flows[i].weight = max(q.weights[i/2%len(q.weights)], minWeight)
+		q.flows[i].long = i%2 == 1
+	}
+	return q
+}
+
+// minWeight keeps the tags of a backer without a share finite.
+const minWeight = 1e-3
+
+// Len returns the number of items.
+func (q *Queue) Len() int { return len(q.items) }
+
+// Ahead returns the number of items that are at least as important as p.
+func (q *Queue) Ahead(p call.Priority) int {
+	n := 0
+	for i := range q.lanes[:min(int(p)+1, call.Priorities)] {
+		n += q.lanes[i].count
+	}
+	return n
+}
+
+// Push queues it. When the queue is full, a less important item makes room, or one of the same priority whose backer
+// has more than its part of the queue; it is returned as evicted. Push reports false when there is no such item, when
+// the latest start has passed, or when the ticket is queued already.
+func (q *Queue) Push(now time.Time, it Item) (evicted Item, hasEvicted, ok bool) {
+	it.Priority = min(it.Priority, call.Priorities-1)
+	if it.Backer < 0 || it.Backer >= len(q.weights) {
+		it.Backer = 0
+	}
+	wait := q.wait
+	if it.Wait > 0 {
+		wait = it.Wait
+	}
+	it.since, it.latest = now, now.Add(wait)
+	if !it.Deadline.IsZero() {
+		if d := it.Deadline.Add(-it.Expected); d.Before(it.latest) {
+			it.latest = d
+		}
+	}
+	if !it.latest.After(now) || q.items[it.Ticket] != nil {
+		return Item{}, false, false
+	}
+	if len(q.items) >= q.length {
+		evicted, hasEvicted = q.evict(it)
+		if !hasEvicted {
+			return Item{}, false, false
+		}
+	}
+	q.insert(it)
+	return evicted, hasEvicted, true
+}
+
+func (q *Queue) insert(it Item) {
+	l := &q.lanes[it.Priority]
+	f := q.flow(it)
+	if len(f.heap) == 0 {
+		f.start = max(f.start, l.virtual)
+		l.active = append(l.active, f)
+	}
+	e := &entry{item: it}
+	q.items[it.Ticket] = e
+	heap.Push(&f.heap, e)
+	l.count++
+}
+
+func (q *Queue) flow(it Item) *flow {
+	i := (int(it.Priority)*len(q.weights) + it.Backer) * 2
+	if it.Long {
+		i++
+	}
+	return &q.flows[i]
+}
+
+// Pop removes and returns the next item to run. Long items are passed over unless long is true. It looks at each flow
+// that has items, of which there are at most as many as items.
+func (q *Queue) Pop(now time.Time, long bool) (Item, bool) {
+	for p := range q.lanes {
+		for {
+			f := q.lanes[p].next(long)
+			if f == nil {
+				break
+			}
+			it := f.heap[0].item
+			start := f.start
+			q.take(f.heap[0])
+			if !it.latest.After(now) {
+				q.expired = append(q.expired, it)
+				continue
+			}
+			q.lanes[p].virtual = start
+			f.start = start + cost(it)/f.weight
+			return it, true
+		}
+	}
+	return Item{}, false
+}
+
+func cost(it Item) float64 {
+	if it.Cost <= 0 {
+		return 1
+	}
+	return it.Cost
+}
+
+// next returns the flow with the smallest start tag.
+func (l *lane) next(long bool) *flow {
+	var best *flow
+	for _, f := range l.active {
+		if f.long && !long {
+			continue
+		}
+		if best == nil || f.start < best.start {
+			best = f
+		}
+	}
+	return best
+}
+
+// Remove withdraws one item.
+func (q *Queue) Remove(ticket uint64) (Item, bool) {
+	e := q.items[ticket]
+	if e == nil {
+		return Item{}, false
+	}
+	q.take(e)
+	return e.item, true
+}
+
+func (q *Queue) take(e *entry) {
+	f := q.flow(e.item)
+	l := &q.lanes[e.item.Priority]
+	heap.Remove(&f.heap, e.index)
+	delete(q.items, e.item.Ticket)
+	l.count--
+	if len(f.heap) > 0 {
+		return
+	}
+	for i, a := range l.active {
+		if a == f {
+			last := len(l.active) - 1
+			l.active[i] = l.active[last]
+			l.active = l.active[:last]
+			return
+		}
+	}
+}
+
+// TakeExpired returns the items whose latest start has passed since the last call. It looks at every item.
+func (q *Queue) TakeExpired(now time.Time) []Item {
+	for p := range q.lanes {
+		for i := 0; i < len(q.lanes[p].active); {
+			f := q.lanes[p].active[i]
+			e := f.overdue(now)
+			if e == nil {
+				i++
+				continue
+			}
+			q.take(e)
+			q.expired = append(q.expired, e.item)
+		}
+	}
+	x := q.expired
+	q.expired = nil
+	return x
+}
+
+// Dropped returns the items that Pop found past their latest start, without looking at the others.
+func (q *Queue) Dropped() []Item {
+	x := q.expired
+	q.expired = nil
+	return x
+}
+
+// Drain removes and returns all items, the most important first.
+func (q *Queue) Drain() []Item {
+	var all []Item
+	for p := range q.lanes {
+		for len(q.lanes[p].active) > 0 {
+			e := q.lanes[p].active[0].heap[0]
+			q.take(e)
+			all = append(all, e.item)
+		}
+	}
+	return all
+}
