core/balance, core/retry: target selection and bounded retries

Cause: the other parts need a Picker and a retry decision with a stable API.

Ruled out: matching a second send to its first by request id, because results carry no id; a Result that says HedgeUnused gives the reservation back instead, and a caller that never sets it only hedges less.

Change: Balancer (power of two choices over a rendezvous subset, load reports weighted by age, bounded ejection, probes, hedge budget). Budget, Ratio, Backoff and Policy. Result gets Long and HedgeUnused.

Conclusion: the retry bound is checked; the balancer's figures are not measured yet.

--- /dev/null
+++ b/core/balance/member.go
@@ -0,0 +1,241 @@
+package balance
+
+import (
+	"math"
+	"time"
+
+	"mustardmast"
+	"mustardmast/core/fault"
+)
+
+// assumedSlots stands for the capacity of a member that has reported none; only its relation to others matters.
+const assumedSlots = 100
+
+// member is what one balancer knows about one member. Times are since the start of the service's state.
+type member struct {
+	id     mustardmast.NodeID
+	index  int // in the candidates last seen
+	slots  uint32
+	local  bool // in the own failure domain
+	domain int  // number of the failure domain within the subset
+
+	short, long int           // own calls in flight
+	progress    time.Duration // last answer, or first send after the member was idle
+	since       time.Duration // first seen
+
+	latency  float64 // average in ns; 0 before the first answer
+	sampled  time.Duration
+	load     mustardmast.Load
+	loadAt   time.Duration
+	reported bool
+	ownThen  int // own calls in flight when the report came
+
+	failures int
+	until    time.Duration // ejected until then after refused or broken connections
+	eject    time.Duration // length of the last such ejection
+	full     time.Duration // refused for lack of room until then
+
+	probeAt time.Duration
+	wait    time.Duration // between probes
+
+	// Results of the last evaluation.
+	cost, predicted float64
+	out             bool
+}
+
+// expected returns the latency to expect of m at t. Without new samples it returns to the median: old evidence fades.
+func (m *member) expected(t time.Duration, s *Settings, median float64) float64 {
+	if m.latency == 0 {
+		if m.local {
+			return median
+		}
+		return median + float64(s.AssumedCrossing)
+	}
+	if m.latency <= median {
+		return m.latency
+	}
+	age := t - m.sampled
+	if age < time.Millisecond {
+		return m.latency
+	}
+	return median + (m.latency-median)*math.Exp(-float64(age)/float64(s.Memory))
+}
+
+// sample takes the latency of one answer into the average.
+func (m *member) sample(t time.Duration, s *Settings, x, median float64) {
+	old := m.expected(t, s, median)
+	switch {
+	case m.latency == 0:
+		m.latency = x
+	case x > old:
+		m.latency = old + s.Rise*(x-old)
+	case m.out:
+		// Answers of an ejected member are few; a quick one counts for more than its share of time.
+		m.latency = (old + x) / 2
+	default:
+		w := math.Exp(-float64(max(t-m.sampled, 0)) / float64(s.Memory))
+		m.latency = old*w + x*(1-w)
+	}
+	m.sampled = t
+}
+
+// atLeast takes a call into the average that ended without an answer after x.
+func (m *member) atLeast(t time.Duration, s *Settings, x, median float64) {
+	if x > m.expected(t, s, median) {
+		m.sample(t, s, x, median)
+	}
+}
+
+// weight is the part of its full share that a new member gets.
+func (m *member) weight(t time.Duration, s *Settings) float64 {
+	age := t - m.since
+	if age >= s.SlowStart {
+		return 1
+	}
+	return 0.1 + 0.9*float64(age)/float64(s.SlowStart)
+}
+
+// others estimates the calls in flight that come from other nodes.
+func (m *member) others(t time.Duration, s *Settings) float64 {
+	if !m.reported {
+		return 0
+	}
+	age := m.load.Age + t - m.loadAt
+	if age >= s.MaxLoadAge {
+		return 0
+	}
+	n := float64(m.load.InFlight) + float64(m.load.Queued) - float64(m.ownThen)
+	return max(n, 0) * (1 - float64(age)/float64(s.MaxLoadAge))
+}
+
+// capacity is the number of calls that m runs at once.
+func (m *member) capacity(t time.Duration, s *Settings) float64 {
+	if m.reported && m.load.Limit > 0 && m.load.Age+t-m.loadAt < s.MaxLoadAge {
+		return float64(m.load.Limit)
+	}
+	if m.slots > 0 {
+		return float64(m.slots)
+	}
+	return assumedSlots
+}
+
+// silent reports whether m has answered nothing for longer than its latency and its short calls in flight explain,
+// although others answered meanwhile. With n independent calls in flight the chance that none ends within a mean
+// latency is e^-n, so half a latency plus three n-ths of one is rare for a healthy member.
+func (m *member) silent(t, answered time.Duration, s *Settings, latency float64) bool {
+	if m.short == 0 {
+		return false
+	}
+	limit := max(float64(s.SilenceFloor), latency*(0.5+3/float64(m.short)))
+	return float64(t-m.progress) > limit && float64(t-answered) < limit
+}
+
+// evaluate computes cost, predicted latency and whether m should be passed over.
+func (m *member) evaluate(t time.Duration, s *Settings, median float64, answered time.Duration) {
+	expected := m.expected(t, s, median)
+	quiet := m.silent(t, answered, s, expected)
+	slow := expected > s.Outlier*median && expected-median > float64(s.SilenceFloor)
+	latency := expected
+	if m.short > 0 {
+		latency = max(latency, float64(t-m.progress))
+	}
+	capacity := m.capacity(t, s) * m.weight(t, s)
+	inFlight := float64(m.short+m.long) + m.others(t, s)
+	if t < m.full {
+		inFlight = max(inFlight, capacity)
+	}
+	use := inFlight / capacity
+	m.cost = latency * (inFlight + 1) / capacity
+	m.predicted = latency * (1 + 10*max(use-s.SpillAt, 0))
+	m.out = t < m.until || quiet || slow
+	if t < m.until {
+		m.cost *= 100
+		m.predicted *= 100
+	}
+}
+
+// sent counts a call.
+func (m *member) sent(t time.Duration, long bool) {
+	if long {
+		m.long++
+		return
+	}
+	if m.short == 0 {
+		m.progress = t
+	}
+	m.short++
+}
+
+// done takes the result of one send.
+func (m *member) done(t time.Duration, s *Settings, r *mustardmast.Result, median float64) {
+	m.ended(r.Long)
+	if r.HasLoad {
+		m.load, m.loadAt, m.reported, m.ownThen = r.Load, t, true, m.short+m.long
+	}
+	switch judge(r.Kind) {
+	case served:
+		m.progress, m.failures, m.eject, m.until = t, 0, 0, 0
+		if !r.Long {
+			m.sample(t, s, float64(r.Latency), median)
+		}
+	case answered:
+		m.progress, m.failures = t, 0
+	case noRoom:
+		m.progress, m.failures = t, 0
+		m.full = t + 100*time.Millisecond
+	case broken:
+		if m.failures++; m.failures >= s.Failures {
+			m.exclude(t, s)
+		}
+	case gone:
+		m.exclude(t, s)
+	case slower:
+		if !r.Long {
+			m.atLeast(t, s, float64(r.Latency), median)
+		}
+	}
+}
+
+func (m *member) exclude(t time.Duration, s *Settings) {
+	m.eject = min(max(2*m.eject, s.EjectFirst), s.EjectMost)
+	m.until = t + m.eject
+}
+
+// ended takes one call off. A result that names the wrong class takes it from the other, so that no count stays
+// above zero without calls.
+func (m *member) ended(long bool) {
+	switch {
+	case long && m.long > 0, !long && m.short == 0 && m.long > 0:
+		m.long--
+	case m.short > 0:
+		m.short--
+	}
+}
+
+type judgement uint8
+
+const (
+	answered judgement = iota // an answer that says nothing about the member's speed
+	served
+	noRoom
+	broken
+	gone
+	slower // ended without an answer: the latency is a lower bound
+)
+
+func judge(k fault.Kind) judgement {
+	switch k {
+	case fault.None:
+		return served
+	case fault.QueueFull, fault.TargetRefused, fault.LedgerFull:
+		return noRoom
+	case fault.TargetFailed, fault.PeerLost, fault.AnswerCut, fault.Internal, fault.OutcomeUnknown:
+		return broken
+	case fault.PeerUnreachable, fault.NotReady, fault.Draining, fault.WrongIncarnation, fault.NoTarget:
+		return gone
+	case fault.Canceled, fault.DeadlineExceeded:
+		return slower
+	default:
+		return answered
+	}
+}
--- /dev/null
+++ b/core/balance/settings.go
@@ -0,0 +1,71 @@
+package balance
+
+import (
+	"time"
+
+	"mustardmast"
+)
+
+// Own is the member on whose behalf targets are chosen.
+type Own struct {
+	ID            mustardmast.NodeID
+	FailureDomain string
+}
+
+// Settings are the tunable figures of a Balancer. Defaults returns the documented ones.
+type Settings struct {
+	Subset   int // members per service; default 16, at most 64
+	Services int // services with state; default 1024; at the bound the one that was idle for longest is forgotten
+	Former   int // members outside the subset whose calls in flight are still counted, per service; default 32
+
+	AssumedLatency  time.Duration // of a service without any answer; default 10 ms
+	AssumedCrossing time.Duration // added for a member of another domain without an answer; default 2 ms
+	Memory          time.Duration // time constant of the latency average; default 1 s
+	Rise            float64       // part of the way that the average moves to a higher sample; default 0.3, 1 is a pure peak
+
+	MaxLoadAge  time.Duration // older load reports are ignored; default 1 s
+	SpillAt     float64       // utilisation from which predicted latency rises; default 0.6
+	SpillMargin float64       // how much dearer the own domain may be before calls leave it; default 1.25
+	SlowStart   time.Duration // time over which a new member reaches its full share; default 10 s
+
+	SilenceFloor time.Duration // shortest silence that counts; default 5 ms, above scheduler and collector pauses
+	Outlier      float64       // multiple of the median latency that ejects; default 3
+	Failures     int           // broken connections in a row that eject; default 3
+	EjectFirst   time.Duration // first ejection after refused or broken connections; default 500 ms, doubles up to
+	EjectMost    time.Duration // this; default 8 s
+	ProbeEvery   time.Duration // shortest time between probes of an ejected member; default 100 ms
+	ProbeShare   float64       // most probes per call; default 0.005
+
+	HedgeShare float64 // most second sends per call; default 0.03
+	HedgeSaved float64 // most second sends saved up; default 128
+}
+
+// Defaults returns the default settings.
+func Defaults() Settings {
+	return Settings{
+		Subset:   16,
+		Services: 1024,
+		Former:   32,
+
+		AssumedLatency:  10 * time.Millisecond,
+		AssumedCrossing: 2 * time.Millisecond,
+		Memory:          time.Second,
+		Rise:            0.3,
+
+		MaxLoadAge:  time.Second,
+		SpillAt:     0.6,
+		SpillMargin: 1.25,
+		SlowStart:   10 * time.Second,
+
+		SilenceFloor: 5 * time.Millisecond,
+		Outlier:      3,
+		Failures:     3,
+		EjectFirst:   500 * time.Millisecond,
+		EjectMost:    8 * time.Second,
+		ProbeEvery:   100 * time.Millisecond,
+		ProbeShare:   0.005,
+
+		HedgeShare: 0.03,
+		HedgeSaved: 128,
+	}
+}
--- /dev/null
+++ b/core/retry/policy_test.go
@@ -0,0 +1,87 @@
+package retry_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"mustardmast/core/call"
+	"mustardmast/core/fault"
+	"mustardmast/core/retry"
+)
+
+var start = time.Unix(1000, 0)
+
+func policy(s retry.RatioSettings) *retry.Policy {
+	return retry.NewPolicy(retry.NewRatio(s), retry.NewBackoff(1, retry.DefaultBase, retry.DefaultMost))
+}
+
+func one(idempotent bool) call.Call {
+	return call.New(call.Spec{Service: "plug-ledger", Idempotent: idempotent, Deadline: start.Add(time.Second)})
+}
+
+// Guards against a resend of a non-idempotent request that may have run, for every kind and stated outcome.
+func TestOnlyWorkThatDidNotRunIsSentAgain(t *testing.T) {
+	for _, k := range fault.Kinds() {
+		for _, o := range []fault.Outcome{fault.Unknown, fault.NotExecuted, fault.Executed} {
+			e := fault.New(k, "").WithOutcome(o)
+			d := policy(retry.DefaultRatio()).Decide(start, one(false), retry.NewBudget(3), e, 1)
+			if o != fault.NotExecuted {
+				assert.Equal(t, d.Action, retry.GiveUp, "%s, %s", k, o)
+			}
+		}
+	}
+}
+
+// Guards against a decision that spends without being within the deadline, the request's budget and the edge's ratio.
+func TestEveryLimitIsKept(t *testing.T) {
+	e := fault.New(fault.Shed, "")
+	b := retry.NewBudget(1)
+	p := policy(retry.DefaultRatio())
+	late := p.Decide(start, one(true), b, e.WithRetryAfter(time.Second), 1)
+	assert.Equal(t, late.Reason, "deadline")
+	assert.Equal(t, b.Left(), 1)
+	assert.Equal(t, p.Decide(start, one(true), b, e, 1).Action, retry.Later)
+	assert.Equal(t, p.Decide(start, one(true), b, e, 2).Reason, "request budget")
+	assert.Equal(t, p.Decide(start, one(true), retry.NewBudget(9), e, 1).Reason, "edge ratio")
+}
+
+// Guards against retries that exceed a tenth of the successes and one a second.
+func TestRatioBoundsAnEdge(t *testing.T) {
+	r := retry.NewRatio(retry.DefaultRatio())
+	taken := 0
+	for i := range 10_000 { // 10 s at 1000 calls a second, all of them retried
+		now := start.Add(time.Duration(i) * time.Millisecond)
+		r.Succeeded(now, "a")
+		if r.Take(now, "a") {
+			taken++
+		}
+	}
+	assert.Assert(t, taken <= 1000+10+1, "%d retries", taken)
+	assert.Assert(t, taken >= 1000, "%d retries", taken)
+}
+
+// Guards against names that grow the table without bound.
+func TestRatioForgetsTheIdleEdge(t *testing.T) {
+	s := retry.DefaultRatio()
+	s.Edges = 16
+	r := retry.NewRatio(s)
+	for i := range 1000 {
+		r.Take(start.Add(time.Duration(i)), fmt.Sprint(i))
+	}
+	assert.Assert(t, r.Edges() <= 16)
+}
+
+func ExamplePolicy() {
+	p := retry.NewPolicy(retry.NewRatio(retry.DefaultRatio()), retry.NewBackoff(1, retry.DefaultBase, retry.DefaultMost))
+	c := call.New(call.Spec{Service: "unplug-desk", Method: "unplug"})
+	b := retry.NewBudget(3)
+	now := time.Unix(0, 0)
+	fmt.Println(p.Decide(now, c, b, fault.New(fault.Draining, ""), 1).Action == retry.Now, b.Left())
+	fmt.Println(p.Decide(now, c, b, fault.New(fault.PeerLost, ""), 2).Reason)
+	// Output:
+	// true 2
+	// kind peer-lost with outcome unknown
+}
--- a/picker.go
+++ b/picker.go
@@ -15,6 +15,9 @@
 	Kind    fault.Kind // fault.None on success
 	Load    Load
 	HasLoad bool
+
+	Long        bool // cost class of the call
+	HedgeUnused bool // HedgeAfter allowed a second send for this call, and none was made
 }
 
 // Picker chooses the member that gets a call.
@@ -26,5 +29,6 @@
 	Done(now time.Time, r Result)
 
 	// HedgeAfter returns how long to wait for a first answer before a second send, and false when none is allowed.
+	// True reserves a second send from a budget; it stays spent unless a Result with HedgeUnused gives it back.
 	HedgeAfter(now time.Time, c call.Call) (time.Duration, bool)
 }
