core: issued request ids and the owner's ledger

Cause: a non-idempotent request may run at most once, although its caller resends it through any node.

Ruled out: a home node by hash under a lease, because a paused holder acts after its lease; a record in the platform, because of its write rate. Opaque text without a prefix was ruled out for ids, since a UUID without dashes has the same length and alphabet.

Change: core/requestid issues ids in ranges and verifies them; core/ledger holds one record per id and gives out claims. A pending record refuses sends whose attempt number is not higher than one it has seen, so that a late copy of a send cannot start after its caller was told not-executed.

--- /dev/null
+++ b/core/ledger/ledger_test.go
@@ -0,0 +1,172 @@
+package ledger_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"mustardmast/core/fault"
+	"mustardmast/core/ledger"
+	"mustardmast/core/requestid"
+)
+
+var start = time.Unix(1000, 0)
+
+func fixture(l ledger.Limits) (*requestid.Issuer, *ledger.Ledger) {
+	s := requestid.New(7, requestid.Key{1}, start, requestid.DefaultWindow)
+	return s, ledger.New(s, l)
+}
+
+func request(id requestid.ID) ledger.Request {
+	return ledger.Request{ID: id, Service: "plug-ledger", Method: "record", Backer: "koper", Digest: 1, Attempt: 1, Retries: 2}
+}
+
+func begin(t *testing.T, g *ledger.Ledger, q ledger.Request, want ledger.Action) ledger.Decision {
+	t.Helper()
+	d, err := g.Begin(start, q)
+	assert.NilError(t, err)
+	assert.Equal(t, d.Action, want)
+	return d
+}
+
+func refused(t *testing.T, g *ledger.Ledger, now time.Time, q ledger.Request, k fault.Kind, o fault.Outcome) {
+	t.Helper()
+	_, err := g.Begin(now, q)
+	assert.Equal(t, fault.KindOf(err), k)
+	assert.Equal(t, fault.From(err).Outcome(), o)
+}
+
+// Guards against a second start after an answer, and against an answer that changes between sends.
+func TestResendGetsTheRecordedAnswer(t *testing.T) {
+	s, g := fixture(ledger.DefaultLimits)
+	q := request(s.Issue(start, 1)[0])
+	d := begin(t, g, q, ledger.Dispatch)
+	refused(t, g, start, q, fault.InProgress, fault.Unknown)
+	_, _, err := g.Dispatched(start, d.Ticket, 9)
+	assert.NilError(t, err)
+	body := []byte("ok")
+	g.Done(start, d.Ticket, ledger.Answer{Status: 200, Body: body})
+	body[0] = 'x'
+	r := begin(t, g, q, ledger.Replay)
+	assert.Equal(t, string(r.Answer.Body), "ok")
+}
+
+// Guards against a caller's answer that reaches another request with the same id.
+func TestReusedIDIsRefused(t *testing.T) {
+	s, g := fixture(ledger.DefaultLimits)
+	q := request(s.Issue(start, 1)[0])
+	begin(t, g, q, ledger.Dispatch)
+	for _, change := range []func(*ledger.Request){
+		func(q *ledger.Request) { q.Method = "remove" },
+		func(q *ledger.Request) { q.Service = "plug" },
+		func(q *ledger.Request) { q.Backer = "araba" },
+		func(q *ledger.Request) { q.Digest = 2 },
+	} {
+		other := q
+		change(&other)
+		refused(t, g, start, other, fault.RequestIDReused, fault.NotExecuted)
+	}
+}
+
+// Guards against resends that get more attempts together than the request's one budget allows.
+func TestResendsDrawOnOneBudget(t *testing.T) {
+	s, g := fixture(ledger.DefaultLimits)
+	q := request(s.Issue(start, 1)[0])
+	sends := 0
+	for q.Attempt = 1; q.Attempt < 10; q.Attempt++ {
+		q.Retries = 100 // a caller that raises its budget with each resend
+		if q.Attempt == 1 {
+			q.Retries = 2
+		}
+		d := begin(t, g, q, ledger.Dispatch)
+		_, retries, err := g.Dispatched(start, d.Ticket, 9)
+		if err == nil {
+			sends++
+			g.Returned(start, d.Ticket, retries+5) // an executor that returns more than it was lent
+		} else {
+			assert.Equal(t, fault.KindOf(err), fault.RetryBudgetExhausted)
+		}
+		g.Release(start, d.Ticket)
+	}
+	assert.Equal(t, sends, 3)
+}
+
+// Guards against a late copy of a send that starts after its caller was told not-executed.
+func TestAnsweredSendCannotStartLater(t *testing.T) {
+	s, g := fixture(ledger.DefaultLimits)
+	q := request(s.Issue(start, 1)[0])
+	q.Attempt = 2
+	d := begin(t, g, q, ledger.Dispatch)
+	g.Release(start, d.Ticket)
+	refused(t, g, start, q, fault.Fenced, fault.NotExecuted)
+	q.Attempt = 1
+	refused(t, g, start, q, fault.Fenced, fault.NotExecuted)
+	q.Attempt = 3
+	begin(t, g, q, ledger.Dispatch)
+}
+
+// Guards against a start while the outcome of an earlier attempt is open.
+func TestLostAttemptIsAskedAbout(t *testing.T) {
+	for settlement, want := range map[ledger.Settlement]fault.Kind{
+		ledger.NotExecuted: fault.None, ledger.Executed: fault.AlreadyExecuted, ledger.Running: fault.InProgress,
+		ledger.Gone: fault.OutcomeUnknown, ledger.Unreachable: fault.OutcomeUnknown,
+	} {
+		s, g := fixture(ledger.DefaultLimits)
+		q := request(s.Issue(start, 1)[0])
+		d := begin(t, g, q, ledger.Dispatch)
+		sent, _, _ := g.Dispatched(start, d.Ticket, 9)
+		g.Release(start, d.Ticket)
+		d = begin(t, g, q, ledger.Ask)
+		assert.Equal(t, d.Attempt, sent)
+		_, _, err := g.Dispatched(start, d.Ticket, 9)
+		assert.Equal(t, fault.KindOf(err), fault.Fenced)
+		assert.Equal(t, fault.KindOf(g.Settled(start, d.Ticket, settlement)), want)
+		if want != fault.None {
+			_, _, err = g.Dispatched(start, d.Ticket, 9)
+			assert.Equal(t, fault.KindOf(err), fault.Fenced)
+		}
+	}
+}
+
+// Guards against growth past the bounds, and against an eviction that lets a live id start again.
+func TestFullLedgerRefusesNewIDs(t *testing.T) {
+	s, g := fixture(ledger.Limits{Records: 2, Bytes: 5, Answer: 4})
+	ids := s.Issue(start, 3)
+	for _, id := range ids[:2] {
+		d := begin(t, g, request(id), ledger.Dispatch)
+		g.Dispatched(start, d.Ticket, 9)
+		g.Done(start, d.Ticket, ledger.Answer{Status: 200, Body: []byte("abc")})
+	}
+	begin(t, g, request(ids[0]), ledger.Replay)
+	refused(t, g, start, request(ids[1]), fault.AlreadyExecuted, fault.Executed)
+	refused(t, g, start, request(ids[2]), fault.LedgerFull, fault.NotExecuted)
+	resend := request(ids[2])
+	resend.Attempt = 2
+	refused(t, g, start, resend, fault.LedgerFull, fault.Unknown)
+
+	end := start.Add(requestid.DefaultWindow)
+	refused(t, g, end, request(ids[0]), fault.RequestIDExpired, fault.Unknown)
+	g.Tick(end.Add(time.Second))
+	assert.Equal(t, g.Len(), 0)
+	assert.Equal(t, g.Bytes(), 0)
+}
+
+func ExampleLedger() {
+	issuer := requestid.New(7, requestid.Key{1}, start, requestid.DefaultWindow)
+	g := ledger.New(issuer, ledger.DefaultLimits)
+	q := ledger.Request{ID: issuer.Issue(start, 1)[0], Service: "unplug-desk", Method: "unplug", Attempt: 1, Retries: 3}
+
+	d, _ := g.Begin(start, q)
+	attempt, retries, _ := g.Dispatched(start, d.Ticket, 9)
+	fmt.Println("send attempt", attempt.Nonce, "with", retries, "retries to node", attempt.Executor)
+	g.Done(start, d.Ticket, ledger.Answer{Status: 200, Body: []byte("unplugged")})
+
+	q.Attempt = 2
+	d, _ = g.Begin(start, q)
+	fmt.Println(d.Action == ledger.Replay, string(d.Answer.Body))
+	// Output:
+	// send attempt 1 with 3 retries to node 9
+	// true unplugged
+}
--- /dev/null
+++ b/core/ledger/ticket.go
@@ -0,0 +1,141 @@
+package ledger
+
+import (
+	"bytes"
+	"time"
+
+	"mustardmast"
+	"mustardmast/core/fault"
+)
+
+// Settlement is what asking an executor has shown.
+type Settlement uint8
+
+// Settlements.
+const (
+	Unreachable Settlement = iota // it could not be asked; a resend may ask again
+	NotExecuted                   // it will refuse the attempt for ever
+	Running                       // it has started the attempt
+	Executed                      // it has finished the attempt; the answer is lost
+	Gone                          // this incarnation no longer exists
+)
+
+// Dispatched records that an attempt is about to be sent to executor, and returns it with the retries that it may
+// spend. No byte may be sent unless it succeeds. Further attempts of one request take one retry each.
+func (g *Ledger) Dispatched(now time.Time, t Ticket, executor mustardmast.NodeID) (Attempt, int, error) {
+	var a Attempt
+	var retries int
+	var err error = fault.New(fault.Fenced, "the record is held by another handler or has ended")
+	g.with(now, t, func(r *record) {
+		switch {
+		case r.state != pending:
+			return
+		case g.issuer.Expired(now, r.id):
+			// Nothing has run: a pending record has no attempt that did.
+			err = fault.New(fault.RequestIDExpired, "the window ended before the request started").WithOutcome(fault.NotExecuted)
+			return
+		case r.nonce > 0 && r.left == 0:
+			err = fault.New(fault.RetryBudgetExhausted, "no attempt of this request was executed")
+			return
+		case r.nonce > 0:
+			r.left--
+		}
+		r.nonce++
+		r.executor, r.state = executor, started
+		r.lent, r.left = r.left, 0
+		a, retries, err = r.attempt(), int(r.lent), nil
+	})
+	return a, retries, err
+}
+
+// Returned records that the attempt was truly not executed, and how many of its retries are unused. The ticket stays
+// valid, so the handler may dispatch again.
+func (g *Ledger) Returned(now time.Time, t Ticket, unused int) {
+	g.with(now, t, func(r *record) {
+		if r.state == started {
+			r.back(unused)
+		}
+	})
+}
+
+// Lost records that the connection of the attempt broke, and returns the attempt to ask its executor about. It
+// reports false when there is nothing to ask.
+func (g *Ledger) Lost(now time.Time, t Ticket) (Attempt, bool) {
+	var a Attempt
+	ok := false
+	g.with(now, t, func(r *record) {
+		if r.state == started {
+			a, ok = r.attempt(), true
+		}
+	})
+	return a, ok
+}
+
+// Settled records what the executor of the attempt said when it was asked. It returns nil when the handler may
+// dispatch again, and otherwise what the caller is told.
+func (g *Ledger) Settled(now time.Time, t Ticket, s Settlement) error {
+	var err error = fault.New(fault.OutcomeUnknown, "the record is held by another handler or has ended")
+	g.with(now, t, func(r *record) {
+		if r.state != started {
+			return
+		}
+		switch s {
+		case NotExecuted:
+			r.back(0) // what the attempt was lent is lost with its answer
+			err = nil
+		case Executed:
+			r.state, r.held = done, false
+			err = fault.New(fault.AlreadyExecuted, "the answer was lost")
+		case Running:
+			r.held = false
+			err = fault.New(fault.InProgress, "the target still runs it")
+		case Gone:
+			r.state, r.held = gone, false
+			err = fault.New(fault.OutcomeUnknown, "the node that may have executed it is gone")
+		default:
+			r.held = false
+			err = fault.New(fault.OutcomeUnknown, "the node that may have executed it cannot be asked")
+		}
+	})
+	return err
+}
+
+// Done records that the request ran and its answer is complete. It keeps a copy of a small answer for resends.
+func (g *Ledger) Done(now time.Time, t Ticket, a Answer) {
+	g.with(now, t, func(r *record) {
+		if r.state != started {
+			return
+		}
+		r.state, r.held = done, false
+		if a.size() <= g.limits.Answer && g.reserve(a.size()) {
+			a.Body = bytes.Clone(a.Body)
+			r.answer = &a
+		}
+	})
+}
+
+// Release gives up the ticket. A handler that ends must call it; after Done or Settled it has no effect.
+func (g *Ledger) Release(now time.Time, t Ticket) {
+	g.with(now, t, func(r *record) { r.held = false })
+}
+
+// back makes the record pending again.
+func (r *record) back(unused int) {
+	r.state = pending
+	r.left = min(clamp(unused), r.lent) // a hop never creates budget
+	r.lent = 0
+}
+
+// with runs f on the record that t claims, if the claim holds.
+func (g *Ledger) with(now time.Time, t Ticket, f func(*record)) {
+	if t.claim == 0 {
+		return
+	}
+	s := g.shard(t.id)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	g.sweep(s, now)
+	if r, ok := s.records[keyOf(t.id)]; ok && r.held && r.claim == t.claim {
+		f(r)
+	}
+}
