core/register: record of started and withdrawn attempts

Cause: a delayed or repeated attempt must not start after its owner was told that it did not run.

Ruled out: forgetting tombstones after a time. Deadlines travel as a rest of time, so the receiver cannot tell the age of a message and would accept one that was delayed for longer than its tombstone is held. Estimating the owner's clock from the ids seen was ruled out too: it drifts apart over weeks.

Change: records are kept for twice the window; when one is dropped, its issue time becomes the floor of the id's owner, and ids that are not younger are refused for ever. Part of the room is kept for tombstones.

Conclusion: not-executed is answered only for attempts that no copy of can run.

--- /dev/null
+++ b/core/register/register_test.go
@@ -0,0 +1,138 @@
+package register_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"mustardmast/core/fault"
+	"mustardmast/core/ledger"
+	"mustardmast/core/register"
+	"mustardmast/core/requestid"
+)
+
+const window = requestid.DefaultWindow
+
+var start = time.Unix(1000, 0)
+
+func fixture(l register.Limits) (*requestid.Issuer, *register.Register) {
+	return requestid.New(7, requestid.Key{1}, start, window), register.New(9, start, window, l)
+}
+
+func attempt(id requestid.ID, nonce uint32) ledger.Attempt {
+	return ledger.Attempt{ID: id, Nonce: nonce, Executor: 9}
+}
+
+func refused(t *testing.T, err error, k fault.Kind, o fault.Outcome) {
+	t.Helper()
+	assert.Equal(t, fault.KindOf(err), k)
+	assert.Equal(t, fault.From(err).Outcome(), o)
+}
+
+// Guards against a copy of an attempt that starts it again, or that is answered as not executed.
+func TestRepeatedStartIsRefused(t *testing.T) {
+	s, r := fixture(register.DefaultLimits)
+	a := attempt(s.Issue(start, 1)[0], 1)
+	assert.NilError(t, r.Start(start, a, time.Time{}))
+	refused(t, r.Start(start, a, time.Time{}), fault.InProgress, fault.Unknown)
+	assert.Equal(t, r.Withdraw(start, a), ledger.Running)
+	refused(t, r.Refuse(start, a, fault.New(fault.Shed, "")), fault.InProgress, fault.Unknown)
+	r.Finish(start, a)
+	refused(t, r.Start(start, a, time.Time{}), fault.AlreadyExecuted, fault.Executed)
+	assert.Equal(t, r.Withdraw(start, a), ledger.Executed)
+}
+
+// Guards against an attempt that starts after its owner was told that it never will.
+func TestWithdrawnAttemptNeverStarts(t *testing.T) {
+	s, r := fixture(register.DefaultLimits)
+	a := attempt(s.Issue(start, 1)[0], 1)
+	assert.Equal(t, r.Withdraw(start, a), ledger.NotExecuted)
+	refused(t, r.Start(start, a, time.Time{}), fault.Fenced, fault.NotExecuted)
+
+	next := attempt(a.ID, 2)
+	assert.NilError(t, r.Start(start, next, time.Time{}))
+	assert.Equal(t, r.Withdraw(start, a), ledger.NotExecuted)
+	r.Refused(start, next)
+	assert.Equal(t, r.Withdraw(start, next), ledger.NotExecuted)
+	refused(t, r.Start(start, next, time.Time{}), fault.Fenced, fault.NotExecuted)
+
+	for _, refuse := range []func(ledger.Attempt){
+		func(a ledger.Attempt) { assert.ErrorContains(t, r.Refuse(start, a, fault.New(fault.Shed, "")), "shed") },
+		func(a ledger.Attempt) {
+			refused(t, r.Start(start, a, start), fault.DeadlinePassed, fault.NotExecuted)
+		},
+	} {
+		a := attempt(s.Issue(start, 1)[0], 1)
+		refuse(a)
+		refused(t, r.Start(start, a, start.Add(time.Hour)), fault.Fenced, fault.NotExecuted)
+	}
+}
+
+// Guards against a new process that answers for the one before it.
+func TestOtherIncarnationIsNotAnsweredFor(t *testing.T) {
+	s, r := fixture(register.DefaultLimits)
+	a := attempt(s.Issue(start, 1)[0], 1)
+	a.Executor = 8
+	refused(t, r.Start(start, a, time.Time{}), fault.WrongIncarnation, fault.NotExecuted)
+	assert.Equal(t, r.Withdraw(start, a), ledger.Gone)
+	assert.Equal(t, r.Len(), 0)
+}
+
+// Guards against an attempt or a tombstone that is forgotten while a message can still arrive.
+func TestForgottenAttemptsStayRefused(t *testing.T) {
+	s, r := fixture(register.DefaultLimits)
+	ids := s.Issue(start, 3)
+	ran, fenced, fresh := attempt(ids[0], 1), attempt(ids[1], 1), attempt(ids[2], 1)
+	assert.NilError(t, r.Start(start, ran, time.Time{}))
+	r.Withdraw(start.Add(window), fenced)
+	r.Tick(start.Add(3 * window))
+	assert.Equal(t, r.Len(), 0)
+
+	late := start.Add(100 * window)
+	for _, a := range []ledger.Attempt{ran, fenced, fresh} {
+		refused(t, r.Start(late, a, time.Time{}), fault.RequestIDExpired, fault.Unknown)
+		assert.Equal(t, r.Withdraw(late, a), ledger.Unreachable)
+	}
+	assert.NilError(t, r.Start(late, attempt(s.Issue(late, 1)[0], 1), time.Time{}))
+}
+
+// Guards against a touched record that is dropped by its first use, and against growth by touching.
+func TestTouchedRecordIsKept(t *testing.T) {
+	s, r := fixture(register.DefaultLimits)
+	a := attempt(s.Issue(start, 1)[0], 1)
+	for i := range 10 {
+		r.Withdraw(start.Add(time.Duration(i)*window), attempt(a.ID, uint32(i+1)))
+	}
+	assert.Equal(t, r.Len(), 1)
+	refused(t, r.Start(start.Add(10*window), a, time.Time{}), fault.Fenced, fault.NotExecuted)
+	r.Tick(start.Add(12 * window))
+	assert.Equal(t, r.Len(), 0)
+}
+
+// Guards against growth past the bounds, and against an untrue not-executed when no tombstone fits.
+func TestFullRegister(t *testing.T) {
+	s, r := fixture(register.Limits{Records: 8, Owners: 2})
+	ids := s.Issue(start, 10)
+	for _, id := range ids[:7] {
+		assert.NilError(t, r.Start(start, attempt(id, 1), time.Time{}))
+	}
+	refused(t, r.Start(start, attempt(ids[7], 1), time.Time{}), fault.LedgerFull, fault.NotExecuted)
+	assert.Equal(t, r.Withdraw(start, attempt(ids[8], 1)), ledger.NotExecuted)
+	assert.Equal(t, r.Withdraw(start, attempt(ids[9], 1)), ledger.Unreachable)
+	assert.Equal(t, r.Len(), 8)
+}
+
+func ExampleRegister() {
+	owner := requestid.New(7, requestid.Key{1}, start, window)
+	r := register.New(9, start, window, register.DefaultLimits)
+	a := ledger.Attempt{ID: owner.Issue(start, 1)[0], Nonce: 1, Executor: 9}
+
+	// The owner has lost the connection and asks before the attempt arrives.
+	fmt.Println(r.Withdraw(start, a) == ledger.NotExecuted)
+	fmt.Println(r.Start(start.Add(time.Second), a, start.Add(2*time.Second)))
+	// Output:
+	// true
+	// fenced: the attempt was withdrawn before it arrived
+}
