--- /dev/null
+++ b/io/dispatch/own.go
@@ -0,0 +1,150 @@
+package dispatch
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+
+	"mustardmast"
+	"mustardmast/core/fault"
+	"mustardmast/core/ledger"
+	"mustardmast/core/requestid"
+	"mustardmast/core/retry"
+	"mustardmast/io/execute"
+	"mustardmast/io/message"
+)
+
+// own starts a request whose id this node issued. The ledger is asked before the call is refused for any other reason,
+// because a refusal as not-executed must hold for earlier sends of the same id too.
+func (d *Dispatcher) own(ctx context.Context, r *message.Request, id requestid.ID) (execute.Answer, error) {
+	c := r.Call
+	dec, err := d.ledger.Begin(d.clock.Now(), ledger.Request{
+		ID: id, Service: c.Service(), Method: c.Method(), Backer: c.Backer(), Digest: r.Digest, Attempt: c.Attempt(),
+		Retries: c.Retries(),
+	})
+	if err != nil {
+		return d.refuse(c), err
+	}
+	if dec.Action == ledger.Replay {
+		return execute.Answer{Level: mustardmast.FullLevel, Response: replay(dec.Answer)}, nil
+	}
+	// A caller whose connection broke will ask again under the same id. The request runs on to its deadline, so that
+	// the answer is there to be given.
+	ctx, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	if at := c.Deadline(); !at.IsZero() {
+		ctx, cancel = context.WithDeadline(ctx, at)
+	}
+	o := owned{d: d, ticket: dec.Ticket, cancel: cancel}
+	if dec.Action == ledger.Ask {
+		if err := o.ask(ctx, dec.Attempt); err != nil {
+			o.release()
+			return d.refuse(c), err
+		}
+	}
+	a, err := o.run(ctx, r)
+	if err != nil {
+		o.release()
+	}
+	return a, err
+}
+
+func replay(a ledger.Answer) *message.Response {
+	h := http.Header{}
+	if a.Type != "" {
+		h.Set("Content-Type", a.Type)
+	}
+	return &message.Response{
+		Status: a.Status, Header: h, Body: io.NopCloser(bytes.NewReader(a.Body)), Length: int64(len(a.Body)),
+	}
+}
+
+// owned is one handler's work on one record of the ledger.
+type owned struct {
+	d      *Dispatcher
+	ticket ledger.Ticket
+	cancel context.CancelFunc
+}
+
+func (o *owned) release() {
+	o.d.ledger.Release(o.d.clock.Now(), o.ticket)
+	o.cancel()
+}
+
+// run sends attempts until one ends in something else than a truthful not-executed, or no retries are left.
+func (o *owned) run(ctx context.Context, r *message.Request) (execute.Answer, error) {
+	d := o.d
+	if !d.levels.Admit(d.clock.Now(), r.Call) {
+		return d.refuse(r.Call), fault.New(fault.Shed, "the services below shed calls of this priority and backer")
+	}
+	var tried []mustardmast.NodeID
+	for n := 1; ; n++ {
+		a, err := o.attempt(ctx, r, &tried)
+		if err == nil {
+			if n == 1 {
+				d.policy.Succeeded(d.clock.Now(), r.Call)
+			}
+			return a, nil
+		}
+		// The ledger holds the request's budget; the policy decides on the outcome, the deadline and the edge's ratio.
+		if !d.again(ctx, r.Call, retry.NewBudget(1), err, n) {
+			return a, err
+		}
+	}
+}
+
+// attempt makes one send and settles the ledger's record by how it ended.
+func (o *owned) attempt(ctx context.Context, r *message.Request, tried *[]mustardmast.NodeID) (execute.Answer, error) {
+	d := o.d
+	now := d.clock.Now()
+	if r.Call.Expired(now) {
+		return d.refuse(r.Call), fault.New(fault.DeadlinePassed, "before it was sent to a target")
+	}
+	m, ok := d.pick(now, r.Call, tried)
+	if !ok {
+		return d.refuse(r.Call), fault.Newf(fault.NoTarget, "service %q", r.Call.Service())
+	}
+	at, retries, err := d.ledger.Dispatched(now, o.ticket, m.ID)
+	if err != nil {
+		d.picker.Done(now, mustardmast.Result{Member: m.ID, Service: r.Call.Service(), Kind: fault.Canceled})
+		return d.refuse(r.Call), err
+	}
+	a, err := d.send(ctx, m, r, retry.NewBudget(retries).Grant(true), sendOptions{nonce: uint64(at.Nonce)})
+	if err == nil {
+		o.keep(&a)
+		return a, nil
+	}
+	if fault.From(err).Outcome() == fault.NotExecuted {
+		d.ledger.Returned(d.clock.Now(), o.ticket, a.Retries)
+		return a, err
+	}
+	if lost, ok := d.ledger.Lost(d.clock.Now(), o.ticket); ok {
+		if settled := o.ask(context.WithoutCancel(ctx), lost); settled != nil {
+			return a, settled
+		}
+		err = fault.Wrap(err, fault.PeerUnreachable, "withdrawn at the executor before it started")
+	}
+	return a, err
+}
+
+// ask settles an attempt by what its executor says. Nil means that it was not executed and never will be.
+func (o *owned) ask(ctx context.Context, a ledger.Attempt) error {
+	s := o.d.outcomes.Ask(ctx, a.Executor, a)
+	return o.d.ledger.Settled(o.d.clock.Now(), o.ticket, s)
+}
+
+// keep lets the ledger have the answer when it is complete.
+func (o *owned) keep(a *execute.Answer) {
+	b := &keptBody{ReadCloser: a.Response.Body, limit: ledger.DefaultLimits.Answer, done: func(body []byte, whole bool) {
+		defer o.release()
+		now := o.d.clock.Now()
+		if !whole {
+			_ = o.d.ledger.Settled(now, o.ticket, ledger.Executed)
+			return
+		}
+		o.d.ledger.Done(now, o.ticket, ledger.Answer{
+			Status: a.Response.Status, Type: a.Response.Header.Get("Content-Type"), Body: body,
+		})
+	}}
+	a.Response.Body = b
+}
--- a/io/message/body.go
+++ b/io/message/body.go
@@ -77,8 +77,9 @@
 // Whole reports whether the whole body is held, so that it can always be sent again.
 func (b *Body) Whole() bool { return b.ended }
 
-// Open returns a reader from the first byte, and false when bytes after the prefix were already read. Readers opened
-// earlier are closed: an HTTP transport may go on reading a body after its request has failed.
+// Open returns a reader from the first byte, and false when bytes after the prefix were already read. A body that is
+// held whole has any number of readers at a time. Otherwise readers opened earlier are closed, because an HTTP
+// transport may go on reading a body after its request has failed.
 func (b *Body) Open() (io.ReadCloser, bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -109,7 +110,7 @@
 	b := r.b
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if r.turn != b.turn {
+	if r.turn != b.turn && !b.ended {
 		return 0, false, io.ErrClosedPipe
 	}
 	if r.at < len(b.prefix) {
--- a/io/message/body_test.go
+++ b/io/message/body_test.go
@@ -28,7 +28,8 @@
 
 // Guards against a failed send whose transport still reads the body while the next send does.
 func TestOlderReaderIsClosed(t *testing.T) {
-	b, err := message.NewBody(strings.NewReader("hello"), 5)
+	data := strings.Repeat("x", message.PrefixSize+10)
+	b, err := message.NewBody(strings.NewReader(data), int64(len(data)))
 	assert.NilError(t, err)
 	old, _ := b.Open()
 	_, _ = b.Open()
@@ -55,3 +56,16 @@
 	_, err := message.NewBody(strings.NewReader("hel"), 5)
 	assert.ErrorIs(t, err, io.ErrUnexpectedEOF)
 }
+
+// Guards against two sends at a time of which one gets a part of the body only.
+func TestWholeBodyHasTwoReaders(t *testing.T) {
+	b, err := message.NewBody(strings.NewReader("hello"), 5)
+	assert.NilError(t, err)
+	one, _ := b.Open()
+	two, _ := b.Open()
+	for _, r := range []io.Reader{one, two} {
+		got, err := io.ReadAll(r)
+		assert.NilError(t, err)
+		assert.Equal(t, string(got), "hello")
+	}
+}
