core/ledger: answers name the attempt that they are about

Cause: a late answer about one attempt could have been taken for an answer about the next one of the same handler.

Change: Returned, Lost, Settled and Done take the attempt and ignore all but the one that is out.

Conclusion: crossed answers have no effect.

--- a/core/ledger/ledger.go
+++ b/core/ledger/ledger.go
@@ -7,7 +7,7 @@
 //
 //	Dispatched  before any byte of an attempt leaves    pending -> started
 //	Returned    the attempt was truly not executed      started -> pending
-//	Lost        the connection broke: ask the executor
+//	Lost        the connection broke: whether to ask the executor
 //	Settled     what the executor said                  started -> pending, done, gone, or unchanged
 //	Done        the complete answer has arrived         started -> done
 //	Release     the handler gives up                    the record stays as it is, open to resends
@@ -18,7 +18,7 @@
 // A refusal that a caller is told as not-executed must hold for its earlier sends too, which may still be on the way.
 // So a record remembers the highest attempt number that it has seen, and a pending record refuses sends with a number
 // that is not higher: a caller raises the number with each resend. For the same reason a node calls Begin before it
-// refuses a request for any other reason.
+// refuses a request for any other reason. A node that is not the owner can refuse only a first send with not-executed.
 //
 // One retry budget belongs to the request. The first attempt is free; each further one, whether a node's retry or a
 // caller's resend asked for it, takes one unit. What is left is lent to the attempt and comes back with Returned.
--- a/core/ledger/ledger_test.go
+++ b/core/ledger/ledger_test.go
@@ -44,10 +44,10 @@
 	q := request(s.Issue(start, 1)[0])
 	d := begin(t, g, q, ledger.Dispatch)
 	refused(t, g, start, q, fault.InProgress, fault.Unknown)
-	_, _, err := g.Dispatched(start, d.Ticket, 9)
+	a, _, err := g.Dispatched(start, d.Ticket, 9)
 	assert.NilError(t, err)
 	body := []byte("ok")
-	g.Done(start, d.Ticket, ledger.Answer{Status: 200, Body: body})
+	g.Done(start, d.Ticket, a, ledger.Answer{Status: 200, Body: body})
 	body[0] = 'x'
 	r := begin(t, g, q, ledger.Replay)
 	assert.Equal(t, string(r.Answer.Body), "ok")
@@ -81,10 +81,10 @@
 			q.Retries = 2
 		}
 		d := begin(t, g, q, ledger.Dispatch)
-		_, retries, err := g.Dispatched(start, d.Ticket, 9)
+		a, retries, err := g.Dispatched(start, d.Ticket, 9)
 		if err == nil {
 			sends++
-			g.Returned(start, d.Ticket, retries+5) // an executor that returns more than it was lent
+			g.Returned(start, d.Ticket, a, retries+5) // an executor that returns more than it was lent
 		} else {
 			assert.Equal(t, fault.KindOf(err), fault.RetryBudgetExhausted)
 		}
@@ -122,7 +122,9 @@
 		assert.Equal(t, d.Attempt, sent)
 		_, _, err := g.Dispatched(start, d.Ticket, 9)
 		assert.Equal(t, fault.KindOf(err), fault.Fenced)
-		assert.Equal(t, fault.KindOf(g.Settled(start, d.Ticket, settlement)), want)
+		assert.Equal(t, fault.KindOf(g.Settled(start, d.Ticket, sent, settlement)), want)
+		late := g.Lost(start, d.Ticket, ledger.Attempt{ID: q.ID, Nonce: sent.Nonce + 1, Executor: 9})
+		assert.Assert(t, !late, "an attempt that was never sent has a say")
 		if want != fault.None {
 			_, _, err = g.Dispatched(start, d.Ticket, 9)
 			assert.Equal(t, fault.KindOf(err), fault.Fenced)
@@ -136,8 +138,8 @@
 	ids := s.Issue(start, 3)
 	for _, id := range ids[:2] {
 		d := begin(t, g, request(id), ledger.Dispatch)
-		g.Dispatched(start, d.Ticket, 9)
-		g.Done(start, d.Ticket, ledger.Answer{Status: 200, Body: []byte("abc")})
+		a, _, _ := g.Dispatched(start, d.Ticket, 9)
+		g.Done(start, d.Ticket, a, ledger.Answer{Status: 200, Body: []byte("abc")})
 	}
 	begin(t, g, request(ids[0]), ledger.Replay)
 	refused(t, g, start, request(ids[1]), fault.AlreadyExecuted, fault.Executed)
@@ -161,7 +163,7 @@
 	d, _ := g.Begin(start, q)
 	attempt, retries, _ := g.Dispatched(start, d.Ticket, 9)
 	fmt.Println("send attempt", attempt.Nonce, "with", retries, "retries to node", attempt.Executor)
-	g.Done(start, d.Ticket, ledger.Answer{Status: 200, Body: []byte("unplugged")})
+	g.Done(start, d.Ticket, attempt, ledger.Answer{Status: 200, Body: []byte("unplugged")})
 
 	q.Attempt = 2
 	d, _ = g.Begin(start, q)
--- a/core/ledger/ticket.go
+++ b/core/ledger/ticket.go
@@ -50,35 +50,23 @@
 
 // Returned records that the attempt was truly not executed, and how many of its retries are unused. The ticket stays
 // valid, so the handler may dispatch again.
-func (g *Ledger) Returned(now time.Time, t Ticket, unused int) {
-	g.with(now, t, func(r *record) {
-		if r.state == started {
-			r.back(unused)
-		}
-	})
+func (g *Ledger) Returned(now time.Time, t Ticket, a Attempt, unused int) {
+	g.out(now, t, a, func(r *record) { r.back(unused) })
 }
 
-// Lost records that the connection of the attempt broke, and returns the attempt to ask its executor about. It
-// reports false when there is nothing to ask.
-func (g *Ledger) Lost(now time.Time, t Ticket) (Attempt, bool) {
-	var a Attempt
-	ok := false
-	g.with(now, t, func(r *record) {
-		if r.state == started {
-			a, ok = r.attempt(), true
-		}
-	})
-	return a, ok
+// Lost reports whether the executor of an attempt, whose connection broke, has to be asked. It is false when the
+// record has ended or another handler has taken over.
+func (g *Ledger) Lost(now time.Time, t Ticket, a Attempt) bool {
+	ask := false
+	g.out(now, t, a, func(*record) { ask = true })
+	return ask
 }
 
 // Settled records what the executor of the attempt said when it was asked. It returns nil when the handler may
 // dispatch again, and otherwise what the caller is told.
-func (g *Ledger) Settled(now time.Time, t Ticket, s Settlement) error {
+func (g *Ledger) Settled(now time.Time, t Ticket, a Attempt, s Settlement) error {
 	var err error = fault.New(fault.OutcomeUnknown, "the record is held by another handler or has ended")
-	g.with(now, t, func(r *record) {
-		if r.state != started {
-			return
-		}
+	g.out(now, t, a, func(r *record) {
 		switch s {
 		case NotExecuted:
 			r.back(0) // what the attempt was lent is lost with its answer
@@ -101,15 +89,12 @@
 }
 
 // Done records that the request ran and its answer is complete. It keeps a copy of a small answer for resends.
-func (g *Ledger) Done(now time.Time, t Ticket, a Answer) {
-	g.with(now, t, func(r *record) {
-		if r.state != started {
-			return
-		}
+func (g *Ledger) Done(now time.Time, t Ticket, a Attempt, answer Answer) {
+	g.out(now, t, a, func(r *record) {
 		r.state, r.held = done, false
-		if a.size() <= g.limits.Answer && g.reserve(a.size()) {
-			a.Body = bytes.Clone(a.Body)
-			r.answer = &a
+		if n := answer.size(); n <= g.limits.Answer && g.reserve(n) {
+			answer.Body = bytes.Clone(answer.Body)
+			r.answer = &answer
 		}
 	})
 }
@@ -126,6 +111,15 @@
 	r.lent = 0
 }
 
+// out runs f on the record that t claims, if a is the attempt that is out. Answers to older attempts have no say.
+func (g *Ledger) out(now time.Time, t Ticket, a Attempt, f func(*record)) {
+	g.with(now, t, func(r *record) {
+		if r.state == started && r.attempt() == a {
+			f(r)
+		}
+	})
+}
+
 // with runs f on the record that t claims, if the claim holds.
 func (g *Ledger) with(now time.Time, t Ticket, f func(*record)) {
 	if t.claim == 0 {
