--- a/io/dispatch/own.go
+++ b/io/dispatch/own.go
@@ -111,15 +111,15 @@
 	}
 	a, err := d.send(ctx, m, r, retry.NewBudget(retries).Grant(true), sendOptions{nonce: uint64(at.Nonce)})
 	if err == nil {
-		o.keep(&a)
+		o.keep(&a, at)
 		return a, nil
 	}
 	if fault.From(err).Outcome() == fault.NotExecuted {
-		d.ledger.Returned(d.clock.Now(), o.ticket, a.Retries)
+		d.ledger.Returned(d.clock.Now(), o.ticket, at, a.Retries)
 		return a, err
 	}
-	if lost, ok := d.ledger.Lost(d.clock.Now(), o.ticket); ok {
-		if settled := o.ask(context.WithoutCancel(ctx), lost); settled != nil {
+	if d.ledger.Lost(d.clock.Now(), o.ticket, at) {
+		if settled := o.ask(context.WithoutCancel(ctx), at); settled != nil {
 			return a, settled
 		}
 		err = fault.Wrap(err, fault.PeerUnreachable, "withdrawn at the executor before it started")
@@ -130,19 +130,19 @@
 // ask settles an attempt by what its executor says. Nil means that it was not executed and never will be.
 func (o *owned) ask(ctx context.Context, a ledger.Attempt) error {
 	s := o.d.outcomes.Ask(ctx, a.Executor, a)
-	return o.d.ledger.Settled(o.d.clock.Now(), o.ticket, s)
+	return o.d.ledger.Settled(o.d.clock.Now(), o.ticket, a, s)
 }
 
 // keep lets the ledger have the answer when it is complete.
-func (o *owned) keep(a *execute.Answer) {
+func (o *owned) keep(a *execute.Answer, at ledger.Attempt) {
 	b := &keptBody{ReadCloser: a.Response.Body, limit: ledger.DefaultLimits.Answer, done: func(body []byte, whole bool) {
 		defer o.release()
 		now := o.d.clock.Now()
 		if !whole {
-			_ = o.d.ledger.Settled(now, o.ticket, ledger.Executed)
+			_ = o.d.ledger.Settled(now, o.ticket, at, ledger.Executed)
 			return
 		}
-		o.d.ledger.Done(now, o.ticket, ledger.Answer{
+		o.d.ledger.Done(now, o.ticket, at, ledger.Answer{
 			Status: a.Response.Status, Type: a.Response.Header.Get("Content-Type"), Body: body,
 		})
 	}}
--- /dev/null
+++ b/io/eventlog/eventlog.go
@@ -0,0 +1,81 @@
+// Package eventlog writes the numbered events of a node to its structured log.
+//
+// Each event has a number that never changes meaning, so that operators can match on it. The catalogue is Events; the
+// page docs/events.md lists the same rows.
+package eventlog
+
+import (
+	"strconv"
+
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+)
+
+// Event is one numbered event.
+type Event uint16
+
+// Events. Numbers in the hundreds group them: 100 process, 200 target, 300 membership, 400 configuration, 500 calls,
+// 600 platform.
+const (
+	Started            Event = 100
+	Stopping           Event = 101
+	Stopped            Event = 102
+	DrainTimedOut      Event = 103
+	ServerFailed       Event = 104
+	TargetReady        Event = 200
+	TargetNotReady     Event = 201
+	TargetDraining     Event = 202
+	TargetCrashed      Event = 203
+	MemberChanged      Event = 300
+	ConfigInstalled    Event = 400
+	ConfigOlder        Event = 401
+	ConfigDiffers      Event = 402
+	ConfigRejected     Event = 403
+	RequestQuarantined Event = 500
+	QuarantineCleared  Event = 501
+	HandlerPanicked    Event = 502
+	PlatformDown       Event = 600
+	PlatformUp         Event = 601
+)
+
+// Row is one line of the catalogue.
+type Row struct {
+	Level   zapcore.Level
+	Name    string
+	Meaning string
+}
+
+// Events is the catalogue.
+var Events = map[Event]Row{
+	Started:            {zapcore.InfoLevel, "started", "the node listens on its addresses"},
+	Stopping:           {zapcore.InfoLevel, "stopping", "a planned stop began; new calls are refused as not executed"},
+	Stopped:            {zapcore.InfoLevel, "stopped", "the process ends"},
+	DrainTimedOut:      {zapcore.WarnLevel, "drain-timed-out", "calls were still in flight at the end of the drain timeout"},
+	ServerFailed:       {zapcore.ErrorLevel, "server-failed", "a listener ended with an error"},
+	TargetReady:        {zapcore.InfoLevel, "target-ready", "the target on this host takes calls"},
+	TargetNotReady:     {zapcore.WarnLevel, "target-not-ready", "the target missed its heartbeats or has not announced itself"},
+	TargetDraining:     {zapcore.InfoLevel, "target-draining", "the target gets no new calls"},
+	TargetCrashed:      {zapcore.WarnLevel, "target-crashed", "the target broke the connections of all calls in flight"},
+	MemberChanged:      {zapcore.InfoLevel, "member-changed", "a member's state changed in this node's view"},
+	ConfigInstalled:    {zapcore.InfoLevel, "config-installed", "a newer generation of the configuration is in force"},
+	ConfigOlder:        {zapcore.ErrorLevel, "config-older", "the platform or a peer shows a lower generation than the one in force; it was not installed"},
+	ConfigDiffers:      {zapcore.ErrorLevel, "config-differs", "another text has the generation in force; it was not installed"},
+	ConfigRejected:     {zapcore.ErrorLevel, "config-rejected", "a newer text has faults; the one in force stays"},
+	RequestQuarantined: {zapcore.WarnLevel, "request-quarantined", "requests with this fingerprint crashed targets and are refused"},
+	QuarantineCleared:  {zapcore.InfoLevel, "quarantine-cleared", "an operator cleared a fingerprint"},
+	HandlerPanicked:    {zapcore.ErrorLevel, "handler-panicked", "a fault of the node itself; the call was answered as internal"},
+	PlatformDown:       {zapcore.WarnLevel, "platform-down", "the platform does not answer; the configuration in force stays"},
+	PlatformUp:         {zapcore.InfoLevel, "platform-up", "the platform answers again"},
+}
+
+// Log writes events.
+type Log struct{ z *zap.Logger }
+
+// New returns a log that writes to z.
+func New(z *zap.Logger) *Log { return &Log{z: z} }
+
+// Write writes one event with fields.
+func (l *Log) Write(e Event, fields ...zap.Field) {
+	row := Events[e]
+	l.z.Log(row.Level, row.Name, append(fields, zap.String("event", "MM"+strconv.Itoa(int(e))))...)
+}
--- a/io/execute/executor.go
+++ b/io/execute/executor.go
@@ -14,6 +14,7 @@
 	"mustardmast"
 	"mustardmast/core/call"
 	"mustardmast/core/fault"
+	"mustardmast/core/register"
 	"mustardmast/io/message"
 	"mustardmast/io/target"
 )
@@ -46,6 +47,7 @@
 	local    *target.Local
 	sender   Sender
 	guards   []Guard
+	attempts attempts
 	running  *Running
 	waiters  waiters
 	tickets  atomic.Uint64
@@ -57,14 +59,16 @@
 	// Before returns an error to refuse the call. The error must be a kind whose outcome is not-executed.
 	Before(now time.Time, c call.Call, digest uint64, h Hop) error
 
-	// After is called once for each call that passed Before. A nil response body with a nil error means that the
-	// response was read to its end.
+	// After is called once for each call that passed Before. The status is 0 if the target sent none.
 	After(now time.Time, c call.Call, digest uint64, h Hop, status int, err error)
 }
 
 // New returns an executor. The guards are asked in order.
-func New(id mustardmast.NodeID, clock mustardmast.Clock, admit mustardmast.Admitter, local *target.Local, sender Sender, running *Running, guards ...Guard) *Executor {
-	return &Executor{id: id, clock: clock, admit: admit, local: local, sender: sender, running: running, guards: guards}
+func New(id mustardmast.NodeID, clock mustardmast.Clock, admit mustardmast.Admitter, local *target.Local, sender Sender, running *Running, reg *register.Register, guards ...Guard) *Executor {
+	return &Executor{
+		id: id, clock: clock, admit: admit, local: local, sender: sender, running: running, attempts: attempts{reg},
+		guards: guards,
+	}
 }
 
 // Tick advances the admission. It is subscribed to the timer service.
@@ -93,11 +97,11 @@
 		return none, fault.Newf(fault.WrongIncarnation, "this is incarnation %x", uint64(x.id))
 	}
 	if _, err := x.ready(now, r.Call); err != nil {
-		return none, err
+		return none, x.attempts.refuse(now, r.Call, h, err)
 	}
 	ticket := x.tickets.Add(1)
 	if err := x.slot(ctx, now, ticket, r.Call, h); err != nil {
-		return none, err
+		return none, x.attempts.refuse(x.clock.Now(), r.Call, h, err)
 	}
 	res, e, err := x.send(ctx, ticket, r, h)
 	return Answer{Response: res, Level: e.Level(), Retries: e.Retries()}, err
@@ -152,43 +156,67 @@
 
 // send gives the call to the target. The slot is released when it fails or when the response's body is closed.
 func (x *Executor) send(ctx context.Context, ticket uint64, r *message.Request, h Hop) (*message.Response, *Execution, error) {
-	e := &Execution{call: r.Call, digest: r.Digest, retries: r.Call.Retries(), level: mustardmast.FullLevel}
-	passed := 0
-	finish := func(start time.Time, status int, err error) {
-		now := x.clock.Now()
-		for _, g := range x.guards[:passed] {
-			g.After(now, r.Call, r.Digest, h, status, err)
+	e := &Execution{call: r.Call, retries: r.Call.Retries(), level: mustardmast.FullLevel}
+	passed, err := x.guard(r, h)
+	if err == nil {
+		x.running.add(e)
+		var res *message.Response
+		start := x.clock.Now()
+		if res, err = x.write(ctx, start, r, h); err == nil {
+			res.Body = &body{ReadCloser: res.Body, finish: func(err error) {
+				x.finish(ticket, e, r, h, passed, start, res.Status, err)
+				x.inFlight.Add(-1)
+			}}
+			return res, e, nil
 		}
-		x.running.remove(e)
-		x.release(ticket, now.Sub(start), fault.KindOf(err))
+		x.finish(ticket, e, r, h, passed, start, 0, err)
+		return nil, e, err
 	}
 	now := x.clock.Now()
-	for _, g := range x.guards {
+	err = x.attempts.refuse(now, r.Call, h, err)
+	x.finish(ticket, e, r, h, passed, now, 0, err)
+	return nil, e, err
+}
+
+// guard asks the guards in order and returns how many let the call pass.
+func (x *Executor) guard(r *message.Request, h Hop) (int, error) {
+	now := x.clock.Now()
+	for i, g := range x.guards {
 		if err := g.Before(now, r.Call, r.Digest, h); err != nil {
-			finish(now, 0, err)
-			return nil, e, err
+			return i, err
 		}
-		passed++
 	}
-	x.running.add(e)
-	// The process may have been paused since admission: readiness and deadline are checked again directly before the
-	// request is written.
-	start := x.clock.Now()
-	a, err := x.ready(start, r.Call)
+	return len(x.guards), nil
+}
+
+// write checks readiness, deadline and register again and writes the request to the target. The process may have been
+// paused since admission, so the time is read directly before.
+func (x *Executor) write(ctx context.Context, now time.Time, r *message.Request, h Hop) (*message.Response, error) {
+	a, err := x.ready(now, r.Call)
 	if err != nil {
-		finish(start, 0, err)
-		return nil, e, err
+		return nil, x.attempts.refuse(now, r.Call, h, err)
 	}
-	res, err := x.sender.Send(ctx, a, start, r, seenByTarget(r.Call))
+	if err := x.attempts.start(now, r.Call, h); err != nil {
+		return nil, err
+	}
+	res, err := x.sender.Send(ctx, a, now, r, seenByTarget(r.Call))
 	if err != nil {
-		finish(start, 0, err)
-		return nil, e, err
+		x.attempts.end(x.clock.Now(), r.Call, h, err)
 	}
-	res.Body = &body{ReadCloser: res.Body, finish: func(err error) {
-		finish(start, res.Status, err)
-		x.inFlight.Add(-1)
-	}}
-	return res, e, nil
+	return res, err
+}
+
+// finish ends a call that held a slot.
+func (x *Executor) finish(ticket uint64, e *Execution, r *message.Request, h Hop, passed int, start time.Time, status int, err error) {
+	now := x.clock.Now()
+	if status != 0 {
+		x.attempts.end(now, r.Call, h, err)
+	}
+	for _, g := range x.guards[:passed] {
+		g.After(now, r.Call, r.Digest, h, status, err)
+	}
+	x.running.remove(e)
+	x.release(ticket, now.Sub(start), fault.KindOf(err))
 }
 
 // seenByTarget is the call with the target's own service on its path, so that the target's sub-calls carry it.
--- a/io/execute/running.go
+++ b/io/execute/running.go
@@ -78,7 +78,6 @@
 // Execution is one call that the target runs.
 type Execution struct {
 	call    call.Call
-	digest  uint64
 	mu      sync.Mutex
 	retries int
 	level   mustardmast.Level
--- a/io/header/header.go
+++ b/io/header/header.go
@@ -19,12 +19,12 @@
 
 // Headers between nodes only. A node removes them from what callers and targets send.
 const (
-	Idempotent = "Mustardmast-Idempotent" // as the sender's configuration has it, so that both ends agree
-	Long       = "Mustardmast-Long"
-	Digest     = "Mustardmast-Digest" // of the content, hexadecimal
+	Idempotent  = "Mustardmast-Idempotent" // as the sender's configuration has it, so that both ends agree
+	Long        = "Mustardmast-Long"
+	Digest      = "Mustardmast-Digest"      // of the content, hexadecimal
 	Incarnation = "Mustardmast-Incarnation" // node incarnation that the call is addressed to, hexadecimal
-	Withheld = "Mustardmast-Withheld" // calls refused on the receiver's behalf since the last one
-	Nonce      = "Mustardmast-Nonce"  // the owner's dispatch number
+	Withheld    = "Mustardmast-Withheld"    // calls refused on the receiver's behalf since the last one
+	Nonce       = "Mustardmast-Nonce"       // the owner's dispatch number
 )
 
 // Answer headers.
--- /dev/null
+++ b/io/settings/settings.go
@@ -0,0 +1,185 @@
+// Package settings reads the settings of one node process: its addresses, its failure domain, where the platform is
+// and a few peers to start from. Everything that concerns services is in the operators' configuration instead.
+package settings
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/netip"
+	"net/url"
+	"os"
+	"sort"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// Defaults.
+const (
+	DefaultDrainTimeout = 30 * time.Second
+	maxName             = 64
+)
+
+// Settings are the settings of one process.
+type Settings struct {
+	name          string
+	failureDomain string
+	region        string
+	caller        netip.AddrPort
+	peer          netip.AddrPort
+	admin         netip.AddrPort
+	platform      string
+	seeds         []netip.AddrPort
+	drainTimeout  time.Duration
+	logLevel      string
+}
+
+// Name returns the name of the host in logs and status.
+func (s Settings) Name() string { return s.name }
+
+// FailureDomain returns the failure domain of the host.
+func (s Settings) FailureDomain() string { return s.failureDomain }
+
+// Region returns the region of the host.
+func (s Settings) Region() string { return s.region }
+
+// CallerAddress returns the address for callers and the own target.
+func (s Settings) CallerAddress() netip.AddrPort { return s.caller }
+
+// PeerAddress returns the address for other nodes, TCP and UDP.
+func (s Settings) PeerAddress() netip.AddrPort { return s.peer }
+
+// AdminAddress returns the address for operators and for announcements of the own target.
+func (s Settings) AdminAddress() netip.AddrPort { return s.admin }
+
+// Platform returns the base URL of the platform's object API.
+func (s Settings) Platform() string { return s.platform }
+
+// Seeds returns the peers to start from.
+func (s Settings) Seeds() []netip.AddrPort { return s.seeds }
+
+// DrainTimeout returns how long a planned stop waits for calls in flight.
+func (s Settings) DrainTimeout() time.Duration { return s.drainTimeout }
+
+// LogLevel returns the lowest level that is logged.
+func (s Settings) LogLevel() string { return s.logLevel }
+
+// file is the wire form.
+type file struct {
+	Name          string   `json:"name"`
+	FailureDomain string   `json:"failure-domain"`
+	Region        string   `json:"region"`
+	CallerAddress string   `json:"caller-address"`
+	PeerAddress   string   `json:"peer-address"`
+	AdminAddress  string   `json:"admin-address"`
+	PlatformURL   string   `json:"platform-url"`
+	Seeds         []string `json:"seeds"`
+	DrainTimeout  string   `json:"drain-timeout"`
+	LogLevel      string   `json:"log-level"`
+}
+
+// Load reads the settings file at path.
+func Load(path string) (Settings, error) {
+	b, err := os.ReadFile(path)
+	if err != nil {
+		return Settings{}, errors.Wrap(err, "read settings")
+	}
+	s, err := Parse(b)
+	return s, errors.Wrapf(err, "settings %s", path)
+}
+
+// Parse reads settings and reports all faults at once.
+func Parse(b []byte) (Settings, error) {
+	var f file
+	d := json.NewDecoder(bytes.NewReader(b))
+	d.DisallowUnknownFields()
+	if err := d.Decode(&f); err != nil {
+		return Settings{}, errors.Wrap(err, "not a JSON object of known keys")
+	}
+	if _, err := d.Token(); err != io.EOF {
+		return Settings{}, errors.New("more text after the JSON object")
+	}
+	c := checker{}
+	s := Settings{
+		name:          c.name("name", f.Name, true),
+		failureDomain: c.name("failure-domain", f.FailureDomain, true),
+		region:        c.name("region", f.Region, false),
+		caller:        c.address("caller-address", f.CallerAddress),
+		peer:          c.address("peer-address", f.PeerAddress),
+		admin:         c.address("admin-address", f.AdminAddress),
+		platform:      c.url("platform-url", f.PlatformURL),
+		drainTimeout:  c.duration("drain-timeout", f.DrainTimeout, DefaultDrainTimeout, time.Second, 10*time.Minute),
+		logLevel:      c.level("log-level", f.LogLevel),
+	}
+	for i, a := range f.Seeds {
+		s.seeds = append(s.seeds, c.address(fmt.Sprintf("seeds[%d]", i), a))
+	}
+	return s, c.err()
+}
+
+// checker collects faults.
+type checker struct{ faults []string }
+
+func (c *checker) fail(key, value, allowed string) {
+	c.faults = append(c.faults, fmt.Sprintf("%s is %q; allowed: %s", key, value, allowed))
+}
+
+func (c *checker) err() error {
+	if len(c.faults) == 0 {
+		return nil
+	}
+	sort.Strings(c.faults)
+	return errors.Errorf("%d faults:\n  %s", len(c.faults), strings.Join(c.faults, "\n  "))
+}
+
+func (c *checker) name(key, v string, must bool) string {
+	plain := func(r rune) bool {
+		return r == '-' || r == '.' || r >= '0' && r <= '9' || r >= 'a' && r <= 'z'
+	}
+	bad := strings.ContainsFunc(v, func(r rune) bool { return !plain(r) })
+	if bad || len(v) > maxName || must && v == "" {
+		c.fail(key, v, fmt.Sprintf("1 to %d of a-z, 0-9, - and .", maxName))
+	}
+	return v
+}
+
+func (c *checker) address(key, v string) netip.AddrPort {
+	a, err := netip.ParseAddrPort(v)
+	if err != nil {
+		c.fail(key, v, "IP address and port, such as 10.0.0.7:7100")
+	}
+	return a
+}
+
+func (c *checker) url(key, v string) string {
+	u, err := url.Parse(v)
+	if err != nil || u.Scheme != "http" && u.Scheme != "https" || u.Host == "" {
+		c.fail(key, v, "an http or https URL")
+	}
+	return strings.TrimSuffix(v, "/")
+}
+
+func (c *checker) duration(key, v string, def, least, most time.Duration) time.Duration {
+	if v == "" {
+		return def
+	}
+	d, err := time.ParseDuration(v)
+	if err != nil || d < least || d > most {
+		c.fail(key, v, fmt.Sprintf("a duration with a unit, %s to %s", least, most))
+	}
+	return d
+}
+
+func (c *checker) level(key, v string) string {
+	switch v {
+	case "":
+		return "info"
+	case "debug", "info", "warn", "error":
+		return v
+	}
+	c.fail(key, v, "debug, info, warn or error")
+	return v
+}
