core/config, io/text: validation, differences and codec of the configuration text

Cause: the configuration had a domain type but no way in, and faults would have shown up one at a time. Ruled out: decoding into structs, because it loses positions and duplicate keys; the offset of json.SyntaxError, which is not that of the token. Change: Validate and Diff in core/config; io/text reads the text as a tree with positions and reports every fault with line, column, path and what is allowed. One key table serves decoder, messages and docs/configuration.md.

--- /dev/null
+++ b/io/text/text_test.go
@@ -0,0 +1,161 @@
+package text_test
+
+import (
+	"bytes"
+	"fmt"
+	"math"
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/golden"
+	"pgregory.net/rapid"
+
+	"mustardmast/core/call"
+	"mustardmast/core/config"
+	"mustardmast/core/fault"
+	"mustardmast/io/text"
+)
+
+func read(t *testing.T, name string) []byte {
+	t.Helper()
+	b, err := os.ReadFile("testdata/" + name)
+	assert.NilError(t, err)
+	return b
+}
+
+// Guards against a fault that hides another one, and against a place that does not lead to the fault.
+func TestEveryFaultIsReportedInOneRun(t *testing.T) {
+	_, faults := text.Decode(read(t, "bad.json"))
+	golden.Assert(t, faults.Error()+"\n", "bad.golden")
+	assert.Equal(t, fault.KindOf(faults.Err()), fault.ConfigInvalid)
+}
+
+// Guards against a syntax error that is reported without its place.
+func TestSyntaxErrorsHaveTheirPlace(t *testing.T) {
+	var out strings.Builder
+	for _, src := range []string{"", "{", "[1]", "{\n  \"limits\": {},\n}", "{\n  \"limits\" {}\n}", "{\"limits\":\n  {\"max-depth\": 08}}",
+		"{} {}", "{\n\"é\": tru }", "{\"services\": {\"a\" \"b\"}}", "{\"limits\":\n {\"max-depth\": 1 2}}", strings.Repeat("[", 100),
+		"{\n \"limits\": \"a\nb\"}", "{\n{}: 1}"} {
+		_, faults := text.Decode([]byte(src))
+		fmt.Fprintf(&out, "%q\n  %s\n", src, strings.ReplaceAll(faults.Error(), "\n", "\n  "))
+	}
+	golden.Assert(t, out.String(), "syntax.golden")
+}
+
+// Guards against a canonical text that changes when it is written again, or that is not what the page shows.
+func TestCanonicalText(t *testing.T) {
+	c, faults := text.Decode(read(t, "koper.json"))
+	assert.NilError(t, faults.Err())
+	first := text.Encode(c)
+	golden.Assert(t, string(first), "koper.golden")
+	again, faults := text.Decode(first)
+	assert.NilError(t, faults.Err())
+	assert.Assert(t, bytes.Equal(text.Encode(again), first))
+	assert.Assert(t, config.Diff(c, again).Empty())
+}
+
+// Guards against a chain that calls cannot follow, a text that is too large, and against quadratic work on lists.
+func TestBounds(t *testing.T) {
+	var b strings.Builder
+	for i := range 10 {
+		fmt.Fprintf(&b, "%q: {\"depends-on\": [\"s%d\"]},", fmt.Sprintf("s%d", i), i+1)
+	}
+	_, faults := text.Decode([]byte(`{"services": {` + b.String() + `"s10": {}}}`))
+	assert.Equal(t, len(faults), 1)
+	assert.ErrorContains(t, faults.Err(), "s9 -> s10 is 11 deep; allowed: at most limits.max-depth = 8")
+	_, faults = text.Decode(make([]byte, text.MaxBytes+1))
+	assert.ErrorContains(t, faults.Err(), "at most 600000 bytes")
+	_, faults = text.Decode([]byte(`{"services": {"a": {"depends-on": ["a"` + strings.Repeat(`,"a"`, 140_000) + `]}}}`))
+	assert.ErrorContains(t, faults.Err(), "140001 entries; allowed: at most 32")
+}
+
+// Guards against a page that promises another default or bound than the code has.
+func TestPageListsEveryKey(t *testing.T) {
+	page, err := os.ReadFile("../../docs/configuration.md")
+	assert.NilError(t, err)
+	for _, k := range text.Keys() {
+		row := fmt.Sprintf("| `%s` | %s | %s | %s | %s | %s |", k.Path, k.Type, k.Unit, k.Default, k.Bounds, k.Meaning)
+		assert.Assert(t, strings.Contains(string(page), row+"\n"), "docs/configuration.md lacks the row\n%s", row)
+	}
+	rows := strings.Count(string(page), "\n| `")
+	assert.Equal(t, rows, len(text.Keys()), "docs/configuration.md has rows for keys that do not exist")
+	example := strings.SplitN(strings.SplitN(string(page), "```json\n", 2)[1], "```", 2)[0]
+	_, faults := text.Decode([]byte(example))
+	assert.NilError(t, faults.Err())
+}
+
+// Guards against defaults in the table that the decoder does not apply.
+func TestDefaultsAreApplied(t *testing.T) {
+	c, faults := text.Decode([]byte(`{"services": {"a": {"methods": {"m": {}}}}}`))
+	assert.NilError(t, faults.Err())
+	encoded := string(text.Encode(c))
+	for _, k := range text.Keys() {
+		name := k.Path[strings.LastIndex(k.Path, ".")+1:]
+		if strings.Count(k.Path, ".") < 1 || k.Default == "must be present" || k.Type == "object" {
+			continue
+		}
+		assert.Assert(t, strings.Contains(encoded, fmt.Sprintf("%q: %s", name, k.Default)) ||
+			strings.Contains(encoded, fmt.Sprintf("%q: %q", name, k.Default)), "%s does not default to %s", k.Path, k.Default)
+	}
+}
+
+// Guards against a value that is lost or changed by writing and reading the text.
+func TestEncodedConfigIsReadBack(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := config.Spec{Limits: config.Limits{RetryBudget: rapid.IntRange(0, 100).Draw(t, "budget"),
+			MaxDepth: rapid.IntRange(5, 32).Draw(t, "depth"), RetryPercent: rapid.IntRange(0, 100).Draw(t, "percent")}}
+		for i := range rapid.IntRange(0, 5).Draw(t, "services") {
+			v := config.Service{Name: fmt.Sprintf("s%d", i), Slots: rapid.IntRange(10, 1000).Draw(t, "slots")}
+			if i > 0 && rapid.Bool().Draw(t, "depends") {
+				v.DependsOn = []string{fmt.Sprintf("s%d", i-1)}
+			}
+			v.Methods = []config.Method{{Name: "m", Idempotent: rapid.Bool().Draw(t, "idempotent"),
+				Priority: call.Priority(rapid.IntRange(0, 3).Draw(t, "priority")), Long: rapid.Bool().Draw(t, "long"),
+				Deadline: time.Duration(rapid.Int64Range(int64(config.MinDeadline), int64(config.MaxDeadline)).Draw(t, "deadline"))}}
+			s.Services = append(s.Services, v)
+		}
+		for i := range rapid.IntRange(0, 4).Draw(t, "backers") {
+			share := math.Round(rapid.Float64Range(0, 25).Draw(t, "share")*100) / 100
+			s.Backers = append(s.Backers, config.Backer{Name: fmt.Sprintf("b%d", i), SharePercent: share})
+		}
+		assert.Equal(t, len(config.Validate(s)), 0)
+		out, faults := text.Decode(text.Encode(config.New(s)))
+		assert.NilError(t, faults.Err())
+		assert.DeepEqual(t, config.Diff(config.New(s), out).Changes, []config.Change(nil))
+	})
+}
+
+// Guards against a panic on any input, and against a text that is accepted but cannot be written and read again.
+func FuzzDecode(f *testing.F) {
+	for _, name := range []string{"bad.json", "koper.json"} {
+		b, err := os.ReadFile("testdata/" + name)
+		assert.NilError(f, err)
+		f.Add(b)
+	}
+	f.Fuzz(func(t *testing.T, src []byte) {
+		c, faults := text.Decode(src)
+		for _, x := range faults {
+			if x.Line < 1 || x.Column < 1 || x.Path == "" || x.Problem == "" || x.Allowed == "" {
+				t.Fatalf("incomplete fault %+v", x)
+			}
+		}
+		if len(faults) > 0 {
+			return
+		}
+		again, faults := text.Decode(text.Encode(c))
+		if len(faults) > 0 || !config.Diff(c, again).Empty() {
+			t.Fatalf("canonical text differs: %v", faults)
+		}
+	})
+}
+
+func ExampleDecode() {
+	_, faults := text.Decode([]byte(`{
+  "services": { "gallery": { "depends-on": ["shares"] } }
+}`))
+	fmt.Println(faults[0])
+	// Output: line 2, column 45: services.gallery.depends-on[0]: unknown service "shares"; allowed: one of gallery
+}
--- /dev/null
+++ b/io/text/tree.go
@@ -0,0 +1,152 @@
+package text
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+)
+
+// maxNesting is far above the five levels that a valid text has. It keeps hostile input from deep recursion.
+const maxNesting = 64
+
+type kind uint8
+
+const (
+	objectNode kind = iota
+	listNode
+	textNode
+	numberNode
+	boolNode
+	nullNode
+)
+
+func (k kind) String() string {
+	return [...]string{"an object", "a list", "text", "a number", "true or false", "null"}[k]
+}
+
+// node is one JSON value with the offset at which it starts.
+type node struct {
+	kind    kind
+	offset  int
+	text    string // text and number
+	flag    bool
+	members []member
+	items   []*node
+}
+
+type member struct {
+	name   string
+	offset int
+	value  *node
+}
+
+// parser builds the tree from tokens, because decoding into structs loses positions and duplicate keys.
+type parser struct {
+	src []byte
+	dec *json.Decoder
+}
+
+type syntaxError struct {
+	offset  int
+	problem string
+}
+
+func (e *syntaxError) Error() string { return e.problem }
+
+func parse(src []byte) (*node, *syntaxError) {
+	p := parser{src: src, dec: json.NewDecoder(bytes.NewReader(src))}
+	p.dec.UseNumber()
+	n, err := p.value(0)
+	if err != nil {
+		return nil, err
+	}
+	if rest := p.skip(int(p.dec.InputOffset())); rest < len(src) {
+		return nil, &syntaxError{rest, "text after the end of the configuration"}
+	}
+	return n, nil
+}
+
+// skip returns the offset of the first byte at or after i that can start a token.
+func (p *parser) skip(i int) int {
+	for i < len(p.src) && bytes.IndexByte([]byte(" \t\r\n,:"), p.src[i]) >= 0 {
+		i++
+	}
+	return i
+}
+
+// next returns the next token and where it starts.
+func (p *parser) next() (json.Token, int, *syntaxError) {
+	start := p.skip(int(p.dec.InputOffset()))
+	tok, err := p.dec.Token()
+	if err == nil {
+		return tok, start, nil
+	}
+	if errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) {
+		return nil, 0, &syntaxError{len(p.src), "the text ends before the configuration is complete"}
+	}
+	// The offset in json.SyntaxError is not that of the token when the decoder reads ahead.
+	return nil, 0, &syntaxError{start, "not JSON: " + err.Error()}
+}
+
+func (p *parser) value(depth int) (*node, *syntaxError) {
+	tok, start, err := p.next()
+	if err != nil {
+		return nil, err
+	}
+	if depth > maxNesting {
+		return nil, &syntaxError{start, fmt.Sprintf("nested more than %d levels deep", maxNesting)}
+	}
+	n := &node{offset: start}
+	switch v := tok.(type) {
+	case json.Delim:
+		if v == '{' {
+			return n, p.object(n, depth)
+		}
+		return n, p.list(n, depth)
+	case string:
+		n.kind, n.text = textNode, v
+	case json.Number:
+		n.kind, n.text = numberNode, v.String()
+	case bool:
+		n.kind, n.flag = boolNode, v
+	default:
+		n.kind = nullNode
+	}
+	return n, nil
+}
+
+func (p *parser) object(n *node, depth int) *syntaxError {
+	n.kind = objectNode
+	for p.dec.More() {
+		tok, start, err := p.next()
+		if err != nil {
+			return err
+		}
+		name, ok := tok.(string)
+		if !ok {
+			return &syntaxError{start, "not JSON: a key must be text in double quotes"}
+		}
+		v, err := p.value(depth + 1)
+		if err != nil {
+			return err
+		}
+		n.members = append(n.members, member{name: name, offset: start, value: v})
+	}
+	_, _, err := p.next()
+	return err
+}
+
+func (p *parser) list(n *node, depth int) *syntaxError {
+	n.kind = listNode
+	for p.dec.More() {
+		v, err := p.value(depth + 1)
+		if err != nil {
+			return err
+		}
+		n.items = append(n.items, v)
+	}
+	_, _, err := p.next()
+	return err
+}
