--- /dev/null
+++ b/node/adapters.go
@@ -0,0 +1,84 @@
+package node
+
+import (
+	"context"
+	"net/http"
+	"runtime/debug"
+	"time"
+
+	"go.uber.org/zap"
+
+	"mustardmast"
+	"mustardmast/core/call"
+	"mustardmast/core/fault"
+	"mustardmast/core/ledger"
+	"mustardmast/core/register"
+	"mustardmast/core/requestid"
+	"mustardmast/io/dispatch"
+	"mustardmast/io/eventlog"
+	"mustardmast/io/header"
+)
+
+// ids gives the caller server the text form of issued ids.
+type ids struct {
+	issuer *requestid.Issuer
+	clock  mustardmast.Clock
+}
+
+func (i ids) Issue(n int) []string {
+	l := i.issuer.Issue(i.clock.Now(), n)
+	s := make([]string, len(l))
+	for k, id := range l {
+		s[k] = id.String()
+	}
+	return s
+}
+
+func (ids) Issued(id string) bool {
+	_, ok := requestid.Parse(id)
+	return ok
+}
+
+// outcomes asks the own register directly and other nodes by their control service.
+type outcomes struct {
+	self     mustardmast.NodeID
+	clock    mustardmast.Clock
+	register *register.Register
+	remote   dispatch.Outcomes
+}
+
+func (o outcomes) Ask(ctx context.Context, executor mustardmast.NodeID, a ledger.Attempt) ledger.Settlement {
+	if executor == o.self {
+		return o.register.Withdraw(o.clock.Now(), a)
+	}
+	if o.remote == nil {
+		return ledger.Unreachable
+	}
+	return o.remote.Ask(ctx, executor, a)
+}
+
+// noLevels admits everything.
+type noLevels struct{}
+
+func (noLevels) Admit(time.Time, call.Call) bool               { return true }
+func (noLevels) Withheld(time.Time, call.Call) uint32          { return 0 }
+func (noLevels) Learn(time.Time, call.Call, mustardmast.Level) {}
+
+// recovery answers calls whose handler panicked. http.ErrAbortHandler goes on to net/http, which breaks the connection
+// so that a response cut short is not taken for a complete one.
+type recovery struct{ log *eventlog.Log }
+
+func (r *recovery) ServeHTTP(w http.ResponseWriter, q *http.Request, next http.HandlerFunc) {
+	defer func() {
+		p := recover()
+		if p == nil {
+			return
+		}
+		if p == http.ErrAbortHandler { //nolint:errorlint // a panic value, compared as net/http does
+			panic(p)
+		}
+		r.log.Write(eventlog.HandlerPanicked, zap.Any("panic", p), zap.ByteString("stack", debug.Stack()))
+		header.WriteError(w, q.Header.Get(header.RequestID), fault.New(fault.Internal, "the handler panicked"))
+	}()
+	next(w, q)
+}
--- /dev/null
+++ b/node/node.go
@@ -0,0 +1,196 @@
+// Package node puts the parts of one node together: the servers towards callers and other nodes, the executor in
+// front of the host's own target, and the dispatcher for calls that leave.
+//
+// A Node is the data path. What it needs from the control side, the members and the configuration in force, comes in
+// through interfaces, so that the daemon, an embedding program and a test each bring their own.
+package node
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/urfave/negroni/v3"
+	"go.uber.org/zap"
+
+	"mustardmast"
+	"mustardmast/core/admit"
+	"mustardmast/core/balance"
+	"mustardmast/core/fault"
+	"mustardmast/core/ledger"
+	"mustardmast/core/register"
+	"mustardmast/core/requestid"
+	"mustardmast/core/retry"
+	"mustardmast/io/caller"
+	"mustardmast/io/dispatch"
+	"mustardmast/io/eventlog"
+	"mustardmast/io/execute"
+	"mustardmast/io/peer"
+	"mustardmast/io/target"
+)
+
+const (
+	admitPeriod   = 10 * time.Millisecond // a tenth of the admission's window
+	tablePeriod   = time.Second
+	initialSlots  = 1 // until the target announces its slots
+	headerTimeout = 10 * time.Second
+	drainPoll     = 20 * time.Millisecond
+)
+
+// Parts are what a Node is built from.
+type Parts struct {
+	Self    mustardmast.Member // its ID must be random and new for each process
+	Timers  mustardmast.Timers
+	Members mustardmast.Directory
+	Configs caller.Configs
+	Asker   dispatch.Outcomes // asks other nodes what became of an attempt
+	Log     *eventlog.Log
+	Key     requestid.Key // secret of this process, random
+	Seed    uint64        // of the random choices
+}
+
+// Node is the data path of one node.
+type Node struct {
+	parts      Parts
+	local      *target.Local
+	admit      *admit.Admitter
+	executor   *execute.Executor
+	dispatcher *dispatch.Dispatcher
+	register   *register.Register
+	ledger     *ledger.Ledger
+	running    *execute.Running
+	targets    *target.Client
+	peers      *peer.Client
+	callerMux  *http.ServeMux
+	peerMux    *http.ServeMux
+	servers    []*http.Server
+	cancels    []func()
+	mu         sync.Mutex
+	leaving    bool
+}
+
+// New returns a node that does not listen yet.
+func New(p Parts) *Node {
+	now := p.Timers.Now()
+	n := &Node{
+		parts: p, local: &target.Local{}, running: execute.NewRunning(), targets: target.NewClient(), peers: peer.NewClient(p.Timers),
+		admit:     admit.New(admit.Spec{Slots: initialSlots}),
+		register:  register.New(p.Self.ID, now, requestid.DefaultWindow, register.DefaultLimits),
+		callerMux: http.NewServeMux(), peerMux: http.NewServeMux(),
+	}
+	issuer := requestid.New(p.Self.ID, p.Key, now, requestid.DefaultWindow)
+	n.ledger = ledger.New(issuer, ledger.DefaultLimits)
+	n.executor = execute.New(p.Self.ID, p.Timers, n.admit, n.local, n.targets, n.running, n.register)
+	n.dispatcher = dispatch.New(dispatch.Parts{
+		Self: p.Self, Clock: p.Timers, Members: p.Members,
+		Picker: balance.New(balance.Own{ID: p.Self.ID, FailureDomain: p.Self.FailureDomain}, p.Seed, balance.Defaults()),
+		Policy: retry.NewPolicy(retry.NewRatio(retry.RatioSettings{}), retry.NewBackoff(p.Seed+1, retry.DefaultBase, retry.DefaultMost)),
+		Levels: noLevels{}, Issuer: issuer, Ledger: n.ledger, Peers: n.peers, Local: n.executor,
+		Outcomes: outcomes{self: p.Self.ID, clock: p.Timers, register: n.register, remote: p.Asker},
+	})
+	caller.New(p.Timers, p.Configs, ids{issuer: issuer, clock: p.Timers}, n.dispatcher, n.running, n.refusal).Mount(n.callerMux)
+	peer.NewServer(p.Timers, n.executor, n.dispatcher).Mount(n.peerMux)
+	n.local.Watch(n.targetChanged)
+	return n
+}
+
+// Local returns the target of this host, for announcements.
+func (n *Node) Local() *target.Local { return n.local }
+
+// PeerMux returns the routes of the peer address, to which the control service is added before Start.
+func (n *Node) PeerMux() *http.ServeMux { return n.peerMux }
+
+// Start serves callers and other nodes on the listeners.
+func (n *Node) Start(callers, peers net.Listener) {
+	n.serve(callers, n.callerMux)
+	n.serve(peers, n.peerMux)
+	n.every(admitPeriod, n.executor.Tick)
+	n.every(tablePeriod, func(now time.Time) {
+		n.ledger.Tick(now)
+		n.register.Tick(now)
+		n.local.Check(now)
+	})
+}
+
+func (n *Node) every(period time.Duration, f func(time.Time)) {
+	n.cancels = append(n.cancels, n.parts.Timers.Every(period, f))
+}
+
+func (n *Node) serve(l net.Listener, h http.Handler) {
+	var p http.Protocols
+	p.SetHTTP1(true)
+	p.SetUnencryptedHTTP2(true)
+	chain := negroni.New(&recovery{log: n.parts.Log})
+	chain.UseHandler(h)
+	s := &http.Server{
+		Handler: chain, Protocols: &p, ReadHeaderTimeout: headerTimeout,
+		HTTP2: &http.HTTP2Config{MaxConcurrentStreams: 1000}, // above the slots of any target, so that streams do not queue unseen
+	}
+	n.servers = append(n.servers, s)
+	go func() {
+		if err := s.Serve(l); err != nil && !errors.Is(err, http.ErrServerClosed) {
+			n.parts.Log.Write(eventlog.ServerFailed, zap.Error(err), zap.Stringer("address", l.Addr()))
+		}
+	}()
+}
+
+// refusal is the error for calls that enter the system here while the node stops.
+func (n *Node) refusal() error {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.leaving {
+		return fault.New(fault.Draining, "this node is stopping")
+	}
+	return nil
+}
+
+// Leave begins a planned stop: new work is refused truthfully, what is in flight goes on.
+func (n *Node) Leave() {
+	n.mu.Lock()
+	n.leaving = true
+	n.mu.Unlock()
+	n.local.Leave(n.parts.Timers.Now())
+}
+
+// Stop ends a planned stop. It waits for calls in flight until ctx ends and returns an error if some were cut off.
+func (n *Node) Stop(ctx context.Context) error {
+	n.Leave()
+	for n.executor.InFlight() > 0 && ctx.Err() == nil {
+		time.Sleep(drainPoll)
+	}
+	var first error
+	for _, s := range n.servers {
+		if err := s.Shutdown(ctx); err != nil && first == nil {
+			first = errors.Wrap(err, "calls were still in flight")
+			_ = s.Close()
+		}
+	}
+	n.close()
+	return first
+}
+
+// Kill ends the node at once, as a crash of the process would.
+func (n *Node) Kill() {
+	for _, s := range n.servers {
+		_ = s.Close()
+	}
+	n.close()
+}
+
+func (n *Node) close() {
+	for _, c := range n.cancels {
+		c()
+	}
+	n.targets.Close()
+	n.peers.Close()
+}
+
+// targetChanged takes the slots that the target announces.
+func (n *Node) targetChanged(a target.Announcement, _ error) {
+	if a.Slots > 0 {
+		n.admit.SetSlots(a.Slots)
+	}
+}
