node: golden sessions for served, refused, draining, deadline past, cut response

Found on the way: the retry ratio was built from its zero value and allowed no retry at all; the reason of a refusal was lost at the second hop and now travels in a header; a resend that is refused before its record was asked is told unknown instead of not-executed.

--- a/core/fault/kind_test.go
+++ b/core/fault/kind_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"os"
+	"strings"
 	"testing"
 
 	"github.com/pkg/errors"
@@ -23,6 +25,22 @@
 	}
 }
 
+// Guards against an error that callers meet and the page does not list.
+func TestPageListsEveryKind(t *testing.T) {
+	page, err := os.ReadFile("../../docs/errors.md")
+	assert.NilError(t, err)
+	for _, k := range fault.Kinds() {
+		a := k.Answer()
+		resend := "no"
+		if a.Retry {
+			resend = "yes"
+		}
+		line := fmt.Sprintf("| %s | %d | %s | %s | %s |", a.Name, a.Status, a.Outcome, resend, a.Meaning)
+		assert.Assert(t, strings.Contains(string(page), line), "docs/errors.md lacks the line\n%s", line)
+	}
+	assert.Equal(t, strings.Count(string(page), "\n| ")-1, len(fault.Kinds()), "rows without a kind")
+}
+
 // Guards against a caller being invited to resend a request that may have run.
 func TestRetryIsAllowedOnlyWhenNotExecuted(t *testing.T) {
 	for _, k := range fault.Kinds() {
--- a/io/caller/server.go
+++ b/io/caller/server.go
@@ -95,7 +95,7 @@
 func (s *Server) call(w http.ResponseWriter, q *http.Request) {
 	r, parent, err := s.read(q)
 	if err != nil {
-		header.WriteError(w, q.Header.Get(header.RequestID), err)
+		header.WriteError(w, q.Header.Get(header.RequestID), weaken(q, err))
 		return
 	}
 	ctx, cancel := context.WithDeadline(q.Context(), r.Call.Deadline())
@@ -114,6 +114,18 @@
 	message.Write(w, r.Call.ID(), a.Response)
 }
 
+// weaken returns err with the outcome unknown for a resend. It is refused before the record of its request was asked,
+// and an earlier attempt may have run.
+func weaken(q *http.Request, err error) error {
+	if a := q.Header.Get(header.Attempt); a == "" || a == "1" {
+		return err
+	}
+	if e := fault.From(err); e.Outcome() == fault.NotExecuted {
+		return e.WithOutcome(fault.Unknown)
+	}
+	return err
+}
+
 func (s *Server) read(q *http.Request) (*message.Request, *execute.Execution, error) {
 	spec, parent, err := s.spec(q)
 	if err != nil {
--- a/io/execute/attempt.go
+++ b/io/execute/attempt.go
@@ -3,7 +3,6 @@
 import (
 	"time"
 
-	"mustardmast"
 	"mustardmast/core/call"
 	"mustardmast/core/fault"
 	"mustardmast/core/ledger"
@@ -20,7 +19,7 @@
 		return ledger.Attempt{}, false
 	}
 	id, ok := requestid.Parse(c.ID())
-	return ledger.Attempt{ID: id, Nonce: uint32(h.Nonce), Executor: mustardmast.NodeID(h.Addressed)}, ok
+	return ledger.Attempt{ID: id, Nonce: uint32(h.Nonce), Executor: h.Addressed}, ok
 }
 
 // start is called directly before the request is written to the target.
--- a/io/header/answer.go
+++ b/io/header/answer.go
@@ -19,6 +19,7 @@
 	h.Set(RequestID, id)
 	h.Set(Outcome, e.Outcome().String())
 	h.Set(Error, e.Kind().String())
+	h.Set(Detail, strconv.QuoteToASCII(shorten(e.Detail())))
 	if d := e.RetryAfter(); d > 0 {
 		h.Set(RetryAfterMS, strconv.FormatInt(d.Milliseconds(), 10))
 		h.Set("Retry-After", strconv.FormatInt(int64((d+time.Second-1)/time.Second), 10))
@@ -40,7 +41,11 @@
 	if !ok {
 		return fault.Newf(fault.Internal, "answer has unknown error kind %q", name)
 	}
-	e := fault.New(k, "reported by the next node")
+	detail, err := strconv.Unquote(h.Get(Detail))
+	if err != nil {
+		detail = "reported by the next node"
+	}
+	e := fault.New(k, shorten(detail))
 	switch h.Get(Outcome) {
 	case fault.NotExecuted.String():
 		e = e.WithOutcome(fault.NotExecuted)
@@ -55,6 +60,15 @@
 	return e
 }
 
+// shorten bounds a detail, which can hold text from outside.
+func shorten(s string) string {
+	const most = 300
+	if len(s) <= most {
+		return s
+	}
+	return strings.ToValidUTF8(s[:most], "") + "..."
+}
+
 // WriteLoad sets the load report of an answer: in flight, queued, limit, age in milliseconds.
 func WriteLoad(h http.Header, l mustardmast.Load) {
 	h.Set(Load, strconv.FormatUint(uint64(l.InFlight), 10)+","+strconv.FormatUint(uint64(l.Queued), 10)+","+
--- a/io/header/header.go
+++ b/io/header/header.go
@@ -31,6 +31,7 @@
 const (
 	Outcome        = "Mustardmast-Outcome"
 	Error          = "Mustardmast-Error"
+	Detail         = "Mustardmast-Detail" // what was wrong, for people; quoted ASCII
 	RetryAfterMS   = "Mustardmast-Retry-After-Ms"
 	AdmissionLevel = "Mustardmast-Admission-Level"
 	Load           = "Mustardmast-Load"
--- a/io/header/header_test.go
+++ b/io/header/header_test.go
@@ -59,6 +59,7 @@
 		header.WriteError(w, "id-1", fault.New(k, "x").WithOutcome(fault.Unknown).WithRetryAfter(time.Second))
 		e := header.ReadError(w.Header())
 		assert.Equal(t, e.Kind(), k)
+		assert.Equal(t, e.Detail(), "x")
 		assert.Equal(t, e.Outcome(), fault.Unknown)
 		assert.Equal(t, e.RetryAfter(), time.Second)
 	}
--- a/io/peer/server.go
+++ b/io/peer/server.go
@@ -9,6 +9,8 @@
 	"strconv"
 	"strings"
 
+	"github.com/pkg/errors"
+
 	"mustardmast"
 	"mustardmast/core/call"
 	"mustardmast/core/fault"
@@ -103,7 +105,7 @@
 
 func (c cutReader) Read(p []byte) (int, error) {
 	n, err := c.ReadCloser.Read(p)
-	if err != nil && err != io.EOF {
+	if err != nil && !errors.Is(err, io.EOF) {
 		err = fault.Wrap(err, fault.AnswerCut, "read the response of the target's node")
 	}
 	return n, err
--- a/io/settings/settings_test.go
+++ b/io/settings/settings_test.go
@@ -23,8 +23,8 @@
 
 // Guards against a misspelt key that silently leaves a default in force.
 func TestUnknownKeyIsRefused(t *testing.T) {
-	_, err := settings.Parse([]byte(`{"nmae":"x"}`))
-	assert.ErrorContains(t, err, "nmae")
+	_, err := settings.Parse([]byte(`{"colour":"x"}`))
+	assert.ErrorContains(t, err, "colour")
 }
 
 func ExampleParse() {
--- a/io/target/stub/stub.go
+++ b/io/target/stub/stub.go
@@ -113,7 +113,7 @@
 func (t *Target) load(w http.ResponseWriter, _ *http.Request) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	fmt.Fprintf(w, "{\"in-flight\":%d,\"slots\":%d}\n", t.running, t.spec.Slots)
+	_, _ = fmt.Fprintf(w, "{\"in-flight\":%d,\"slots\":%d}\n", t.running, t.spec.Slots)
 }
 
 func (t *Target) call(w http.ResponseWriter, q *http.Request) {
@@ -142,7 +142,7 @@
 	for _, c := range t.spec.Calls {
 		if err := t.next(q, c); err != nil {
 			w.WriteHeader(http.StatusBadGateway)
-			fmt.Fprintf(w, "%s: %v\n", t.spec.Service, err)
+			_, _ = fmt.Fprintf(w, "%s: %v\n", t.spec.Service, err)
 			return
 		}
 	}
--- a/node/node.go
+++ b/node/node.go
@@ -87,7 +87,7 @@
 	n.dispatcher = dispatch.New(dispatch.Parts{
 		Self: p.Self, Clock: p.Timers, Members: p.Members,
 		Picker: balance.New(balance.Own{ID: p.Self.ID, FailureDomain: p.Self.FailureDomain}, p.Seed, balance.Defaults()),
-		Policy: retry.NewPolicy(retry.NewRatio(retry.RatioSettings{}), retry.NewBackoff(p.Seed+1, retry.DefaultBase, retry.DefaultMost)),
+		Policy: retry.NewPolicy(retry.NewRatio(retry.DefaultRatio()), retry.NewBackoff(p.Seed+1, retry.DefaultBase, retry.DefaultMost)),
 		Levels: noLevels{}, Issuer: issuer, Ledger: n.ledger, Peers: n.peers, Local: n.executor,
 		Outcomes: outcomes{self: p.Self.ID, clock: p.Timers, register: n.register, remote: p.Asker},
 	})
--- /dev/null
+++ b/node/session_test.go
@@ -0,0 +1,164 @@
+package node_test
+
+import (
+	"bufio"
+	"bytes"
+	"fmt"
+	"net"
+	"regexp"
+	"sort"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/golden"
+
+	"mustardmast/io/target/stub"
+)
+
+// session records the bytes that one caller sends and gets, over one connection for each request.
+type session struct {
+	t    *testing.T
+	text bytes.Buffer
+}
+
+// send writes one request and reads until the node closes the connection.
+func (s *session) send(h *host, method, path, body string, heads ...string) string {
+	s.t.Helper()
+	c, err := net.Dial("tcp", strings.TrimPrefix(h.url, "http://"))
+	assert.NilError(s.t, err)
+	defer c.Close()
+	assert.NilError(s.t, c.SetDeadline(time.Now().Add(10*time.Second)))
+	var q strings.Builder
+	fmt.Fprintf(&q, "%s %s HTTP/1.1\r\nHost: node\r\nConnection: close\r\n", method, path)
+	for i := 0; i < len(heads); i += 2 {
+		fmt.Fprintf(&q, "%s: %s\r\n", heads[i], heads[i+1])
+	}
+	fmt.Fprintf(&q, "Content-Length: %d\r\n\r\n%s", len(body), body)
+	_, err = c.Write([]byte(q.String()))
+	assert.NilError(s.t, err)
+	var got bytes.Buffer
+	_, err = got.ReadFrom(bufio.NewReader(c))
+	s.note("> ", q.String())
+	s.note("< ", sortHeaders(got.String()))
+	if err != nil {
+		s.note("! ", "the connection was reset")
+	}
+	return got.String()
+}
+
+func (s *session) note(prefix, text string) {
+	text = strings.ReplaceAll(text, "\r\n", "\n")
+	for _, line := range strings.Split(strings.TrimSuffix(text, "\n"), "\n") {
+		s.text.WriteString(strings.TrimRight(prefix+line, " ") + "\n")
+	}
+	s.text.WriteString("\n")
+}
+
+var (
+	issuedID = regexp.MustCompile(`mm1:[A-Za-z0-9_-]{32}`)
+	date     = regexp.MustCompile(`(?m)^(.*Date: ).*$`)
+	port     = regexp.MustCompile(`127\.0\.0\.1:\d+`)
+	moment   = regexp.MustCompile(`(?mi)^(.*(?:retry-after-ms|retry-after): )\d+$`)
+	long     = regexp.MustCompile(`x{100,}`)
+)
+
+// check compares the session with its golden file. Only ids, dates, ports and waits are normalised.
+func (s *session) check(name string) {
+	s.t.Helper()
+	text := s.text.String()
+	names := map[string]string{}
+	text = issuedID.ReplaceAllStringFunc(text, func(id string) string {
+		if names[id] == "" {
+			names[id] = fmt.Sprintf("<id-%d>", len(names)+1)
+		}
+		return names[id]
+	})
+	text = date.ReplaceAllString(text, "${1}<date>")
+	text = port.ReplaceAllString(text, "127.0.0.1:<port>")
+	text = moment.ReplaceAllString(text, "${1}<wait>")
+	text = long.ReplaceAllStringFunc(text, func(x string) string { return fmt.Sprintf("<%d bytes>", len(x)) })
+	golden.Assert(s.t, text, name+".golden")
+}
+
+// sortHeaders puts the headers of a response in order, because Go writes them in the order of their first setting.
+func sortHeaders(r string) string {
+	head, body, ok := strings.Cut(r, "\r\n\r\n")
+	if !ok {
+		return r
+	}
+	lines := strings.Split(head, "\r\n")
+	sort.Strings(lines[1:])
+	return strings.Join(lines, "\r\n") + "\r\n\r\n" + body
+}
+
+// Guards against any change of what a caller sees on a served call and on its resend.
+func TestSessionServed(t *testing.T) {
+	_, first := chain(t)
+	s := session{t: t}
+	got := s.send(first, "POST", "/socket-board/assign", "container 7", "Mustardmast-Backer", "maersk")
+	id := issuedID.FindString(got)
+	s.send(first, "POST", "/socket-board/assign", "container 7",
+		"Mustardmast-Backer", "maersk", "Mustardmast-Request-Id", id, "Mustardmast-Attempt", "2")
+	s.send(first, "POST", "/socket-board/assign", "container 8",
+		"Mustardmast-Backer", "maersk", "Mustardmast-Request-Id", id, "Mustardmast-Attempt", "3")
+	s.check("served")
+}
+
+// Guards against a refusal that names no reason or a wrong outcome.
+func TestSessionBadRequests(t *testing.T) {
+	_, first := chain(t)
+	s := session{t: t}
+	s.send(first, "POST", "/socket-board/assign", "", "Mustardmast-Priority", "urgent")
+	s.send(first, "POST", "/socket-board/assign", "", "Mustardmast-Request-Id", "my-own-id")
+	s.send(first, "GET", "/socket-board/assign", "")
+	s.send(first, "POST", "/socket-board", "")
+	s.send(first, "POST", "/crane/lift", "")
+	s.send(first, "POST", "/socket-board/lift", "")
+	s.send(first, "POST", "/socket-board/list", "", "Mustardmast-Path", "plug-ledger,socket-board")
+	s.send(first, "POST", "/socket-board/list", "", "Mustardmast-Path", "a,b,c,d,e,f,g,h")
+	s.send(first, "POST", "/mustardmast/v1/request-ids?count=0", "")
+	s.check("bad-requests")
+}
+
+// Guards against a call past its deadline that reaches a target.
+func TestSessionDeadlinePassed(t *testing.T) {
+	l, first := chain(t)
+	s := session{t: t}
+	s.send(first, "POST", "/reefer-watch/register", "", "Mustardmast-Deadline-Ms", "0")
+	assert.Equal(t, len(l.executions("reefer-watch")), 0)
+	l.hosts[2].target.Set(stub.Faults{DelayMS: 2000})
+	s.send(first, "POST", "/reefer-watch/register", "", "Mustardmast-Deadline-Ms", "50")
+	s.check("deadline-passed")
+}
+
+// Guards against a draining target that gets a call, and against a refusal that is not true.
+func TestSessionDraining(t *testing.T) {
+	l, first := chain(t)
+	s := session{t: t}
+	l.hosts[2].node.Local().Drain(time.Now())
+	s.send(first, "POST", "/reefer-watch/register", "", "Mustardmast-Retry-Budget", "0")
+	first.node.Leave()
+	s.send(first, "POST", "/plug-ledger/record", "")
+	assert.Equal(t, len(l.executions("reefer-watch"))+len(l.executions("plug-ledger")), 0)
+	s.check("draining")
+}
+
+// Guards against a response that breaks off and reaches the caller as a complete one.
+func TestSessionCutResponse(t *testing.T) {
+	l, first := chain(t)
+	s := session{t: t}
+	l.hosts[2].target.Set(stub.Faults{Size: 100_000, CutAfter: 60_000})
+	s.send(first, "POST", "/reefer-watch/register", "", "Mustardmast-Retry-Budget", "0")
+	s.check("cut-response")
+}
+
+// Guards against a target's own refusal that is told as an unknown outcome.
+func TestSessionTargetRefuses(t *testing.T) {
+	l, first := chain(t)
+	s := session{t: t}
+	l.hosts[1].target.Set(stub.Faults{Refuse: true})
+	s.send(first, "POST", "/plug-ledger/record", "", "Mustardmast-Retry-Budget", "1")
+	s.check("target-refuses")
+}
