io/control, core/rollout, core/spread: control plane of one node

Cause: a node needs its membership, the configuration and the outcome calls wired to sockets, timers and the platform. Ruled out: sections by top-level key, which a change to one service would send with all services; a pull per notification, since changes that come together would be pulled one by one. Change: Rollout moves to higher generations only and raises alarms; Spread coalesces pulls and notifications; History keeps the text in force and the byte edits that led to it; Choose and Watch pick two watchers per failure domain; Control runs gossip over UDP and the control service over connect-go, and keeps seeds/<domain> in the platform. Conclusion: five nodes over loopback sockets converge, hold two watches, spread a change and keep their generation when the platform goes back (go test -race ./io/control).

--- a/core/member/gossip.go
+++ b/core/member/gossip.go
@@ -225,6 +225,16 @@
 	m.send(now, r.member.Address, r, p, false)
 }
 
+// Notify sends the configuration generation to k random members.
+func (m *Members) Notify(now time.Time, k int) Output {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, r := range m.pick(k, 0) {
+		m.sendTo(now, r, Packet{Kind: Gossip})
+	}
+	return m.take()
+}
+
 func (m *Members) known(id mustardmast.NodeID) *record {
 	if r, ok := m.byID[id]; ok && r != m.self {
 		return r
--- a/core/member/members.go
+++ b/core/member/members.go
@@ -46,7 +46,7 @@
 	maxPending     = 16
 	maxRelays      = 256
 	maxUrgent      = 4096
-	maxText        = 64 // bytes in a name, domain, region or service
+	MaxText        = 64 // bytes in a name, domain, region or service
 )
 
 // Settings are what New needs.
--- a/core/member/receive.go
+++ b/core/member/receive.go
@@ -29,7 +29,7 @@
 	}
 	// A datagram for an earlier incarnation at this address is answered with this node's own record.
 	meant := p.To == 0 || p.To == m.self.member.ID
-	introduce := p.Introduce || !meant
+	introduce := p.Introduce || !meant || p.To == 0
 	switch p.Kind {
 	case Ping:
 		m.answer(now, from, r, p, introduce)
--- a/core/member/record.go
+++ b/core/member/record.go
@@ -2,6 +2,7 @@
 
 import (
 	"time"
+	"unicode/utf8"
 
 	"mustardmast"
 )
@@ -241,7 +242,8 @@
 
 func sound(c mustardmast.Member) bool {
 	return c.ID != 0 && c.Address.IsValid() && c.State <= mustardmast.Left &&
-		max(len(c.Name), len(c.FailureDomain), len(c.Region), len(c.Service)) <= maxText
+		max(len(c.Name), len(c.FailureDomain), len(c.Region), len(c.Service)) <= MaxText &&
+		utf8.ValidString(c.Name+c.FailureDomain+c.Region+c.Service) // others could not be encoded
 }
 
 // intern shares the few strings that many members have in common. At the bound, strings are kept per member.
--- /dev/null
+++ b/io/control/client.go
@@ -0,0 +1,155 @@
+package control
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"strings"
+	"time"
+
+	"mustardmast"
+	"mustardmast/core/fault"
+	"mustardmast/core/member"
+	"mustardmast/io/control/controlv1"
+)
+
+const (
+	callTimeout = 5 * time.Second
+	idleTimeout = 30 * time.Second
+	maxMessage  = 4 << 20 // a configuration is at most 1 MB, a page of Sync far less
+	// rpcOverhead estimates HTTP/2 frames and headers of one call on a connection that is open.
+	rpcOverhead = 300
+)
+
+// counter takes the bytes of one control call. Those of budgeted calls draw on the token bucket.
+type counter func(path string, sent, received int)
+
+// count meters a call. Callers wait for outcomes and quarantine verdicts, so these are never delayed.
+func (c *Control) count(path string, sent, received int) {
+	c.meter.sent.Add(uint64(sent))
+	c.meter.received.Add(uint64(received))
+	if strings.HasSuffix(path, "/Sync") || strings.HasSuffix(path, "/Config") {
+		c.bucket.Charge(c.s.Timers.Now(), sent+received)
+	}
+}
+
+// client makes control calls to any peer.
+type client struct {
+	http *http.Client
+}
+
+func newClient(base *http.Client, count counter) *client {
+	if base == nil {
+		protocols := new(http.Protocols)
+		protocols.SetUnencryptedHTTP2(true)
+		dialer := &net.Dialer{Timeout: callTimeout}
+		base = &http.Client{Transport: &http.Transport{
+			Protocols: protocols, DialContext: dialer.DialContext, IdleConnTimeout: idleTimeout,
+		}}
+	}
+	counted := *base
+	counted.Transport = &meteredTransport{base: base.Transport, count: count}
+	return &client{http: &counted}
+}
+
+func (c *client) to(a netip.AddrPort) controlv1.ControlServiceClient {
+	return controlv1.NewControlServiceClient(c.http, "http://"+a.String(), clientOptions()...)
+}
+
+func (c *client) close() { c.http.CloseIdleConnections() }
+
+// meteredTransport counts the bodies of calls and an estimate of their headers.
+type meteredTransport struct {
+	base  http.RoundTripper
+	count counter
+}
+
+func (t *meteredTransport) RoundTrip(r *http.Request) (*http.Response, error) {
+	t.count(r.URL.Path, rpcOverhead/2+int(max(r.ContentLength, 0)), 0)
+	resp, err := t.base.RoundTrip(r)
+	if err != nil {
+		return nil, err
+	}
+	t.count(r.URL.Path, 0, rpcOverhead/2)
+	resp.Body = &meteredBody{ReadCloser: resp.Body, read: func(n int) { t.count(r.URL.Path, 0, n) }}
+	return resp, nil
+}
+
+func (t *meteredTransport) CloseIdleConnections() {
+	if c, ok := t.base.(interface{ CloseIdleConnections() }); ok {
+		c.CloseIdleConnections()
+	}
+}
+
+type meteredBody struct {
+	io.ReadCloser
+	read func(int)
+}
+
+func (b *meteredBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if n > 0 {
+		b.read(n)
+	}
+	return n, err
+}
+
+// AskOutcome asks the node that was to run an attempt what became of it. Without a response the outcome is unknown.
+func (c *Control) AskOutcome(ctx context.Context, to mustardmast.Member, q OutcomeQuery) (OutcomeAnswer, error) {
+	resp, err := c.client.to(to.Address).Outcome(ctx, &controlv1.OutcomeRequest{
+		RequestId: q.RequestID, Attempt: q.Attempt, Executor: uint64(q.Executor), Withdraw: q.Withdraw,
+	})
+	if err != nil {
+		return OutcomeAnswer{}, fault.Wrap(err, fault.OutcomeUnknown, "outcome of "+q.RequestID)
+	}
+	return OutcomeAnswer{State: OutcomeState(resp.State), Status: int(resp.Status)}, nil
+}
+
+// ExchangeQuarantine sends fingerprints to a member and returns its own.
+func (c *Control) ExchangeQuarantine(ctx context.Context, to mustardmast.Member, q QuarantineQuery) (
+	QuarantineAnswer, error,
+) {
+	resp, err := c.client.to(to.Address).Quarantine(ctx, &controlv1.QuarantineRequest{
+		From: uint64(c.s.Self.ID), Fingerprints: encodeFingerprints(q.Fingerprints), Start: q.Start,
+	})
+	if err != nil {
+		return QuarantineAnswer{}, fault.Wrap(err, fault.PeerUnreachable, "quarantine exchange")
+	}
+	return QuarantineAnswer{Fingerprints: decodeFingerprints(resp.Fingerprints), MayStart: resp.MayStart}, nil
+}
+
+// sync pulls the records that differ from one of the given members, page by page while the budget lasts. Pages of a
+// new node go to different members, so no single one pays for all.
+func (c *Control) sync(with []mustardmast.Member) {
+	req := &controlv1.SyncRequest{
+		From: uint64(c.s.Self.ID), FailureDomain: c.s.Self.FailureDomain,
+		WantedServices: c.wantedServices(), MaxBytes: syncPage,
+	}
+	for page := 0; ; page++ {
+		now := c.s.Timers.Now()
+		if c.bucket.Level(now) < syncCost {
+			return
+		}
+		req.BucketHashes = c.members.Hashes()
+		ctx, cancel := context.WithTimeout(c.ctx, callTimeout)
+		resp, err := c.client.to(with[page%len(with)].Address).Sync(ctx, req)
+		cancel()
+		if err != nil {
+			return
+		}
+		began := time.Now()
+		c.do(c.members.Merge(c.s.Timers.Now(), decodeUpdates(resp.Members)))
+		c.meter.busy(began)
+		if resp.NextCursor == 0 {
+			return
+		}
+		req.Cursor = resp.NextCursor
+	}
+}
+
+const (
+	syncPage = 8 << 10
+	syncCost = syncPage + 4*member.Buckets + rpcOverhead
+)
--- a/io/control/controlv1/control.connect.go
+++ b/io/control/controlv1/control.connect.go
@@ -47,7 +47,7 @@
 type ControlServiceClient interface {
 	// Sync returns one page of the members whose records differ from the asker's.
 	Sync(context.Context, *SyncRequest) (*SyncResponse, error)
-	// Config returns the configuration in force, or the sections that changed since a generation.
+	// Config returns the configuration in force, or what changed in it since a generation.
 	Config(context.Context, *ConfigRequest) (*ConfigResponse, error)
 	// Outcome asks what became of one attempt of a request, and may withdraw it.
 	Outcome(context.Context, *OutcomeRequest) (*OutcomeResponse, error)
@@ -141,7 +141,7 @@
 type ControlServiceHandler interface {
 	// Sync returns one page of the members whose records differ from the asker's.
 	Sync(context.Context, *SyncRequest) (*SyncResponse, error)
-	// Config returns the configuration in force, or the sections that changed since a generation.
+	// Config returns the configuration in force, or what changed in it since a generation.
 	Config(context.Context, *ConfigRequest) (*ConfigResponse, error)
 	// Outcome asks what became of one attempt of a request, and may withdraw it.
 	Outcome(context.Context, *OutcomeRequest) (*OutcomeResponse, error)
