--- a/core/ledger/ledger.go
+++ b/core/ledger/ledger.go
@@ -110,8 +110,8 @@
 
 type shard struct {
 	mu      sync.Mutex
-	records map[mapKey]*record
-	ends    map[int64][]mapKey // records by the second in which their window has ended
+	records map[uint64]*record  // by sequence number
+	ends    map[int64][]*record // records by the second in which their window has ended
 	swept   int64
 }
 
@@ -119,8 +119,8 @@
 func New(issuer *requestid.Issuer, l Limits) *Ledger {
 	g := &Ledger{issuer: issuer, limits: l, origin: issuer.Expiry(requestid.ID{})}
 	for i := range g.shards {
-		g.shards[i].records = make(map[mapKey]*record)
-		g.shards[i].ends = make(map[int64][]mapKey)
+		g.shards[i].records = make(map[uint64]*record)
+		g.shards[i].ends = make(map[int64][]*record)
 	}
 	return g
 }
@@ -140,12 +140,12 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	g.sweep(s, now)
-	r, ok := s.records[keyOf(q.ID)]
-	if !ok {
+	r := s.find(q.ID)
+	if r == nil {
 		if r = g.open(s, q); r == nil {
 			return Decision{}, full(q)
 		}
-		return Decision{Action: Dispatch, Ticket: r.claimFor()}, nil
+		return Decision{Action: Dispatch, Ticket: r.claimFor(q.ID)}, nil
 	}
 	if r.identity != identityOf(q) {
 		return Decision{}, fault.New(fault.RequestIDReused, "first used with another method, backer or content")
@@ -177,12 +177,12 @@
 	case r.held:
 		return Decision{}, fault.New(fault.InProgress, "another send of this request is being handled")
 	case r.state == started:
-		return Decision{Action: Ask, Ticket: r.claimFor(), Attempt: r.attempt()}, nil
+		return Decision{Action: Ask, Ticket: r.claimFor(q.ID), Attempt: r.attempt(q.ID)}, nil
 	case late:
 		return Decision{}, fault.Newf(fault.Fenced, "attempt %d was not executed and cannot start any more; resend with a higher attempt number",
 			q.Attempt)
 	default:
-		return Decision{Action: Dispatch, Ticket: r.claimFor()}, nil
+		return Decision{Action: Dispatch, Ticket: r.claimFor(q.ID)}, nil
 	}
 }
 
@@ -196,11 +196,10 @@
 		g.records.Add(-1)
 		return nil
 	}
-	r := &record{id: q.ID, identity: identityOf(q), left: clamp(q.Retries), seen: clamp(q.Attempt)}
-	k := keyOf(q.ID)
-	s.records[k] = r
+	r := &record{seq: q.ID.Sequence(), keys: q.ID.Keys(), identity: identityOf(q), left: clamp(q.Retries), seen: clamp(q.Attempt)}
+	s.add(r)
 	at := slot(g.issuer.Expiry(q.ID), g.origin)
-	s.ends[at] = append(s.ends[at], k)
+	s.ends[at] = append(s.ends[at], r)
 	return r
 }
 
@@ -228,20 +227,20 @@
 func (g *Ledger) sweep(s *shard, now time.Time) {
 	upTo := slot(now, g.origin) - 1
 	for ; s.swept <= upTo && len(s.ends) > 0; s.swept++ {
-		for _, k := range s.ends[s.swept] {
-			g.drop(s, k)
+		for _, r := range s.ends[s.swept] {
+			g.drop(s, r)
 		}
 		delete(s.ends, s.swept)
 	}
 	s.swept = max(s.swept, upTo+1)
 }
 
-func (g *Ledger) drop(s *shard, k mapKey) {
-	n := len(k.keys)
-	if a := s.records[k].answer; a != nil {
-		n += a.size()
+func (g *Ledger) drop(s *shard, r *record) {
+	n := len(r.keys)
+	if r.answer != nil {
+		n += r.answer.size()
 	}
-	delete(s.records, k)
+	s.remove(r)
 	g.records.Add(-1)
 	g.bytes.Add(-int64(n))
 }
--- a/core/ledger/ledger_test.go
+++ b/core/ledger/ledger_test.go
@@ -155,6 +155,24 @@
 	assert.Equal(t, g.Bytes(), 0)
 }
 
+// Guards against sub-calls of one root that are taken for each other, and against records that stay behind.
+func TestSubCallsHaveTheirOwnRecords(t *testing.T) {
+	s, g := fixture(ledger.DefaultLimits)
+	root := s.Issue(start, 1)[0]
+	for _, suffix := range []string{"", "/a", "/a/b", "/b"} {
+		id, ok := requestid.Parse(root.String() + suffix)
+		assert.Assert(t, ok)
+		d := begin(t, g, requestOf(id), ledger.Dispatch)
+		a, _, _ := g.Dispatched(start, d.Ticket, 9)
+		g.Done(start, d.Ticket, a, ledger.Answer{Status: 200, Body: []byte(suffix)})
+		assert.Equal(t, string(begin(t, g, requestOf(id), ledger.Replay).Answer.Body), suffix)
+	}
+	assert.Equal(t, g.Len(), 4)
+	g.Tick(start.Add(requestid.DefaultWindow + time.Second))
+	assert.Equal(t, g.Len(), 0)
+	assert.Equal(t, g.Bytes(), 0)
+}
+
 func ExampleLedger() {
 	issuer := requestid.New(7, requestid.Key{1}, start, requestid.DefaultWindow)
 	g := ledger.New(issuer, ledger.DefaultLimits)
--- a/core/ledger/record.go
+++ b/core/ledger/record.go
@@ -19,10 +19,12 @@
 	gone                 // an attempt was sent to an incarnation that can never be asked
 )
 
-// record is what the owner knows about one id.
+// record is what the owner knows about one id. The id itself is in the tickets; the record has what finds it.
 type record struct {
-	id       requestid.ID
-	identity uint64 // hash over method, backer and content
+	seq      uint64
+	keys     string
+	next     *record // another id with the same sequence number, that is another sub-call of one root
+	identity uint64  // hash over method, backer and content
 	executor mustardmast.NodeID
 	answer   *Answer
 	nonce    uint32 // attempts dispatched so far
@@ -34,14 +36,6 @@
 	held     bool // a handler works on this record
 }
 
-// mapKey identifies a record among those of one owner.
-type mapKey struct {
-	seq  uint64
-	keys string
-}
-
-func keyOf(id requestid.ID) mapKey { return mapKey{seq: id.Sequence(), keys: id.Keys()} }
-
 // identityOf is the hash of what must not change between two sends of one id. The lengths keep ("a", "bc") and
 // ("ab", "c") apart.
 func identityOf(r Request) uint64 {
@@ -63,14 +57,44 @@
 }
 
 // claimFor gives the record to a new handler.
-func (r *record) claimFor() Ticket {
+func (r *record) claimFor(id requestid.ID) Ticket {
 	r.claim++
 	r.held = true
-	return Ticket{id: r.id, claim: r.claim}
+	return Ticket{id: id, claim: r.claim}
 }
 
-func (r *record) attempt() Attempt {
-	return Attempt{ID: r.id, Nonce: r.nonce, Executor: r.executor}
+func (r *record) attempt(id requestid.ID) Attempt {
+	return Attempt{ID: id, Nonce: r.nonce, Executor: r.executor}
+}
+
+// find returns the record of id, or nil.
+func (s *shard) find(id requestid.ID) *record {
+	r := s.records[id.Sequence()]
+	for r != nil && r.keys != id.Keys() {
+		r = r.next
+	}
+	return r
+}
+
+func (s *shard) add(r *record) {
+	r.next = s.records[r.seq]
+	s.records[r.seq] = r
+}
+
+func (s *shard) remove(r *record) {
+	first := s.records[r.seq]
+	if first == r && r.next == nil {
+		delete(s.records, r.seq)
+		return
+	}
+	if first == r {
+		s.records[r.seq] = r.next
+		return
+	}
+	for first.next != r {
+		first = first.next
+	}
+	first.next = r.next
 }
 
 // slot numbers the seconds since origin, rounded up: at the start of a record's slot its window has ended.
--- a/core/ledger/ticket.go
+++ b/core/ledger/ticket.go
@@ -30,7 +30,7 @@
 		switch {
 		case r.state != pending:
 			return
-		case g.issuer.Expired(now, r.id):
+		case g.issuer.Expired(now, t.id):
 			// Nothing has run: a pending record has no attempt that did.
 			err = fault.New(fault.RequestIDExpired, "the window ended before the request started").WithOutcome(fault.NotExecuted)
 			return
@@ -43,7 +43,7 @@
 		r.nonce++
 		r.executor, r.state = executor, started
 		r.lent, r.left = r.left, 0
-		a, retries, err = r.attempt(), int(r.lent), nil
+		a, retries, err = r.attempt(t.id), int(r.lent), nil
 	})
 	return a, retries, err
 }
@@ -114,7 +114,7 @@
 // out runs f on the record that t claims, if a is the attempt that is out. Answers to older attempts have no say.
 func (g *Ledger) out(now time.Time, t Ticket, a Attempt, f func(*record)) {
 	g.with(now, t, func(r *record) {
-		if r.state == started && r.attempt() == a {
+		if r.state == started && r.attempt(t.id) == a {
 			f(r)
 		}
 	})
@@ -129,7 +129,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	g.sweep(s, now)
-	if r, ok := s.records[keyOf(t.id)]; ok && r.held && r.claim == t.claim {
+	if r := s.find(t.id); r != nil && r.held && r.claim == t.claim {
 		f(r)
 	}
 }
