--- a/node/cluster_test.go
+++ b/node/cluster_test.go
@@ -18,6 +18,8 @@
 	"mustardmast"
 	"mustardmast/core/call"
 	"mustardmast/core/config"
+	"mustardmast/core/register"
+	"mustardmast/core/requestid"
 	"mustardmast/io/eventlog"
 	"mustardmast/io/header"
 	"mustardmast/io/target"
@@ -67,6 +69,7 @@
 	}
 	h.node = node.New(node.Parts{
 		Self: h.member, Timers: l.timers, Members: l, Configs: l, Log: eventlog.New(zap.NewNop()), Seed: 1,
+		Register: register.New(h.member.ID, time.Now(), requestid.DefaultWindow, register.DefaultLimits),
 	})
 	h.node.Start(callers, peers)
 	s.Service, s.Node, s.Slots = service, h.url, 100
--- a/node/node.go
+++ b/node/node.go
@@ -19,6 +19,7 @@
 	"mustardmast"
 	"mustardmast/core/admit"
 	"mustardmast/core/balance"
+	"mustardmast/core/config"
 	"mustardmast/core/fault"
 	"mustardmast/core/ledger"
 	"mustardmast/core/register"
@@ -42,14 +43,15 @@
 
 // Parts are what a Node is built from.
 type Parts struct {
-	Self    mustardmast.Member // its ID must be random and new for each process
-	Timers  mustardmast.Timers
-	Members mustardmast.Directory
-	Configs caller.Configs
-	Asker   dispatch.Outcomes // asks other nodes what became of an attempt
-	Log     *eventlog.Log
-	Key     requestid.Key // secret of this process, random
-	Seed    uint64        // of the random choices
+	Self     mustardmast.Member // its ID must be random and new for each process
+	Timers   mustardmast.Timers
+	Members  mustardmast.Directory
+	Configs  caller.Configs
+	Register *register.Register // shared with the control service, which answers for it
+	Asker    dispatch.Outcomes  // asks other nodes what became of an attempt
+	Log      *eventlog.Log
+	Key      requestid.Key // secret of this process, random
+	Seed     uint64        // of the random choices
 }
 
 // Node is the data path of one node.
@@ -78,7 +80,7 @@
 	n := &Node{
 		parts: p, local: &target.Local{}, running: execute.NewRunning(), targets: target.NewClient(), peers: peer.NewClient(p.Timers),
 		admit:     admit.New(admit.Spec{Slots: initialSlots}),
-		register:  register.New(p.Self.ID, now, requestid.DefaultWindow, register.DefaultLimits),
+		register:  p.Register,
 		callerMux: http.NewServeMux(), peerMux: http.NewServeMux(),
 	}
 	issuer := requestid.New(p.Self.ID, p.Key, now, requestid.DefaultWindow)
@@ -97,6 +99,9 @@
 	return n
 }
 
+// SetConfig takes what the admission needs of a new configuration.
+func (n *Node) SetConfig(c config.Config) { n.admit.SetBackers(n.parts.Timers.Now(), c.Backers()) }
+
 // Local returns the target of this host, for announcements.
 func (n *Node) Local() *target.Local { return n.local }
 
