daemon: a node as a process, wired to membership and configuration

Two daemons with the platform stand-in serve a chain, learn the configuration, and a planned stop lets the call in flight finish.

--- /dev/null
+++ b/daemon/daemon_test.go
@@ -0,0 +1,183 @@
+package daemon_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"mustardmast/daemon"
+	"mustardmast/io/platform"
+	pstub "mustardmast/io/platform/stub"
+	"mustardmast/io/settings"
+	"mustardmast/io/store"
+	"mustardmast/io/target/stub"
+	"mustardmast/io/tick"
+)
+
+// fleet is a few whole daemons in one process, with the platform stand-in and targets.
+type fleet struct {
+	t        *testing.T
+	platform *httptest.Server
+	stub     *pstub.Server
+	hosts    []*host
+}
+
+type host struct {
+	caller, peer, admin string
+	target              *stub.Target
+	stop                func() error
+}
+
+func newFleet(t *testing.T) *fleet {
+	s := pstub.New()
+	f := &fleet{t: t, stub: s, platform: httptest.NewServer(s)}
+	t.Cleanup(func() {
+		for _, h := range f.hosts {
+			_ = h.stop()
+		}
+		f.platform.Close()
+	})
+	return f
+}
+
+// apply puts the text of the Koper example in force.
+func (f *fleet) apply(expected uint64, text string) {
+	f.t.Helper()
+	p, err := platform.New(platform.Settings{URL: f.platform.URL})
+	assert.NilError(f.t, err)
+	timers := tick.New()
+	defer timers.Close()
+	n := 0
+	st := store.New(store.Settings{Platform: p, Clock: timers, NewID: func() string {
+		n++
+		return fmt.Sprintf("change-%d-%d", expected, n)
+	}})
+	_, err = st.Apply(context.Background(), store.Request{Expected: expected, Text: text, Who: "test", Why: "test"})
+	assert.NilError(f.t, err)
+}
+
+func example(t *testing.T) string {
+	b, err := os.ReadFile("../examples/koper.json")
+	assert.NilError(t, err)
+	return string(b)
+}
+
+func addresses(t *testing.T, n int) []string {
+	var out []string
+	for range n {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		assert.NilError(t, err)
+		defer l.Close()
+		out = append(out, l.Addr().String())
+	}
+	return out
+}
+
+func (f *fleet) add(domain, service string, calls ...string) *host {
+	f.t.Helper()
+	a := addresses(f.t, 3)
+	h := &host{caller: a[0], peer: a[1], admin: a[2]}
+	seed := h.peer
+	if len(f.hosts) > 0 {
+		seed = f.hosts[0].peer
+	}
+	s, err := settings.Parse(fmt.Appendf(nil, `{"name":"%s-%d","failure-domain":"%s","caller-address":"%s","peer-address":"%s",
+		"admin-address":"%s","platform-url":"%s","seeds":["%s"],"drain-timeout":"5s","log-level":"error"}`,
+		service, len(f.hosts), domain, h.caller, h.peer, h.admin, f.platform.URL, seed))
+	assert.NilError(f.t, err)
+	d, err := daemon.Build(s)
+	assert.NilError(f.t, err)
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- d.Run(ctx) }()
+	stopped := false
+	h.target = stub.New(stub.Spec{
+		Service: service, Address: "", Slots: 50, Admin: "http://" + h.admin, Node: "http://" + h.caller, Calls: calls,
+	})
+	ts := httptest.NewServer(h.target.Handler())
+	h.target.SetAddress(strings.TrimPrefix(ts.URL, "http://"))
+	tctx, tcancel := context.WithCancel(context.Background())
+	go h.target.Run(tctx)
+	h.stop = func() error {
+		if stopped {
+			return nil
+		}
+		stopped = true
+		cancel()
+		err := <-done
+		tcancel()
+		ts.Close()
+		return err
+	}
+	f.hosts = append(f.hosts, h)
+	return h
+}
+
+// await calls a method until it is served.
+func (f *fleet) await(h *host, path string) {
+	f.t.Helper()
+	end := time.Now().Add(15 * time.Second)
+	for {
+		status, text := post("http://" + h.caller + path)
+		if status == http.StatusOK {
+			return
+		}
+		if time.Now().After(end) {
+			f.t.Fatalf("%s: %d %s", path, status, text)
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+}
+
+func post(url string) (int, string) {
+	res, err := http.Post(url, "text/plain", strings.NewReader("container 7"))
+	if err != nil {
+		return 0, err.Error()
+	}
+	defer res.Body.Close()
+	b, err := io.ReadAll(res.Body)
+	if err != nil {
+		return 0, err.Error()
+	}
+	return res.StatusCode, string(b)
+}
+
+// Guards against daemons that do not find each other, the configuration or the targets.
+func TestFleetServesAChain(t *testing.T) {
+	f := newFleet(t)
+	f.apply(0, example(t))
+	first := f.add("koper-a", "socket-board", "plug-ledger/record:record")
+	f.add("koper-b", "plug-ledger", "reefer-watch/register:register")
+	f.add("koper-a", "reefer-watch")
+	for _, h := range f.hosts {
+		f.await(h, "/socket-board/assign")
+	}
+	f.await(first, "/reefer-watch/register")
+}
+
+// Guards against a planned stop that cuts off a request in flight.
+func TestPlannedStopFinishesWhatRuns(t *testing.T) {
+	f := newFleet(t)
+	f.apply(0, example(t))
+	first := f.add("koper-a", "socket-board")
+	last := f.add("koper-b", "reefer-watch")
+	f.await(first, "/reefer-watch/register")
+	last.target.Set(stub.Faults{DelayMS: 600})
+	got := make(chan int, 1)
+	go func() {
+		status, _ := post("http://" + first.caller + "/reefer-watch/register")
+		got <- status
+	}()
+	time.Sleep(200 * time.Millisecond)
+	assert.NilError(t, last.stop())
+	assert.Equal(t, <-got, http.StatusOK)
+}
--- /dev/null
+++ b/daemon/wire.go
@@ -0,0 +1,25 @@
+//go:build wireinject
+
+package daemon
+
+import (
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/google/wire"
+
+	"mustardmast"
+	"mustardmast/io/eventlog"
+	"mustardmast/io/platform"
+	"mustardmast/io/settings"
+	"mustardmast/io/tick"
+	"mustardmast/node"
+)
+
+// Build puts a daemon together from its settings.
+func Build(s settings.Settings) (*Daemon, error) {
+	wire.Build(
+		newIdentity, newMember, newLogger, eventlog.New, tick.New, metrics.NewSet, newPlatform,
+		wire.Bind(new(mustardmast.Platform), new(*platform.Client)),
+		newRegister, wire.Struct(new(node.Configs)), newControl, newNode, newAdmin, New,
+	)
+	return nil, nil
+}
--- a/io/target/local.go
+++ b/io/target/local.go
@@ -35,9 +35,16 @@
 	at       time.Time
 	drain    bool // an operator or a planned stop drains the target
 	leaving  bool // the node itself leaves
+	told     told
 	watchers []func(Announcement, error)
 }
 
+// told is what the watchers heard last.
+type told struct {
+	announcement Announcement
+	refusal      fault.Kind
+}
+
 // Watch calls f after every change of the announcement or of readiness, with the error that refuses work, if any.
 func (l *Local) Watch(f func(Announcement, error)) {
 	l.mu.Lock()
@@ -69,7 +76,13 @@
 	f()
 	a, ws := l.last, l.watchers
 	err := l.refusal(now)
+	news := told{announcement: a, refusal: fault.KindOf(err)}
+	changed := news != l.told
+	l.told = news
 	l.mu.Unlock()
+	if !changed {
+		return
+	}
 	for _, w := range ws {
 		w(a, err)
 	}
--- a/io/target/stub/announce.go
+++ b/io/target/stub/announce.go
@@ -41,7 +41,7 @@
 // Announce sends one announcement.
 func (t *Target) Announce(ctx context.Context) error {
 	a := announcement{
-		Address: t.spec.Address, Service: t.spec.Service, Slots: t.spec.Slots, Connections: t.spec.Slots * 7,
+		Address: t.address(), Service: t.spec.Service, Slots: t.spec.Slots, Connections: t.spec.Slots * 7,
 		HealthPath: "/health", LoadPath: "/load", State: "ready",
 	}
 	if t.current().Draining {
@@ -65,3 +65,16 @@
 	}
 	return nil
 }
+
+// SetAddress sets the address that the target announces, for servers whose address is known late.
+func (t *Target) SetAddress(a string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.spec.Address = a
+}
+
+func (t *Target) address() string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.spec.Address
+}
