core/balance: checks for cold start, loss of a domain, ejection and subset

Cause: these four had no check.

Ruled out: nothing; no change of the decisions.

Change: simulations of a target that joins cold and of a lost domain, property tests for the bound on ejection and for the subset; Ejected tells how many members are passed over.

With the bound on ejection taken out, the ejection check fails.

--- a/core/balance/balancer.go
+++ b/core/balance/balancer.go
@@ -95,6 +95,22 @@
 	return v.hedges.reserve(&b.settings)
 }
 
+// Ejected returns how many members of a service's subset the last Pick passed over.
+func (b *Balancer) Ejected(service string) int {
+	_, sh := b.shard(service)
+	sh.mu.Lock()
+	defer sh.mu.Unlock()
+	n := 0
+	if v, ok := sh.services[service]; ok {
+		for _, m := range v.members {
+			if m.out {
+				n++
+			}
+		}
+	}
+	return n
+}
+
 func (b *Balancer) shard(service string) (uint64, *shard) {
 	h := xxhash.Sum64String(service)
 	return h, &b.shards[h%shards]
--- a/core/balance/sim_test.go
+++ b/core/balance/sim_test.go
@@ -72,6 +72,7 @@
 	stalled, resumes time.Duration
 	slow             func(time.Duration) float64
 	lost             bool
+	offers           int                // while lost
 	history          []mustardmast.Load // one entry every 10 ms
 }
 
@@ -90,6 +91,7 @@
 func (t *target) offer(d *send) {
 	switch {
 	case t.lost:
+		t.offers++
 		d.answer(fault.PeerUnreachable, mustardmast.Load{})
 	case t.running < *simSlots:
 		t.start(d)
--- a/core/balance/variants_test.go
+++ b/core/balance/variants_test.go
@@ -103,7 +103,7 @@
 
 func simulate(variant string, sc scenario, l []arrival, seed uint64) *sim {
 	s := &sim{list: members(6, sc.domains...), lag: 2 * time.Second}
-	for range s.list {
+	for range len(s.list) + 1 { // one more that a scenario may add
 		s.targets = append(s.targets, &target{s: s, slow: func(time.Duration) float64 { return 1 }})
 	}
 	for _, t := range s.targets {
