core/silent: detector of connections without progress

Cause: a connection can lose its path without an error, and calls on it wait for their deadlines.

Ruled out: judging a connection by its own silence alone (a slow peer is silent on all connections, and a long call is quiet by nature).

A dead connection lists the calls that may move. Openings are bounded per peer and over all peers.

Conclusion: with a single connection the shell has to make the comparison, by a ping on an idle connection or by opening a second one.

--- /dev/null
+++ b/core/silent/detector_test.go
@@ -0,0 +1,151 @@
+package silent_test
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"mustardmast/core/silent"
+)
+
+var start = time.Unix(1000, 0)
+
+// TestMain fixes the seed of generated checks, so that a failure in CI can be repeated. -rapid.seed sets another one.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	if f := flag.Lookup("rapid.seed"); f.Value.String() == "0" {
+		if err := f.Value.Set("1"); err != nil {
+			panic(err)
+		}
+	}
+	os.Exit(m.Run())
+}
+
+func conn(n uint64) silent.Conn { return silent.Conn{Peer: 7, Number: n} }
+
+// Guards against a silent connection that is found late or not at all, a working one that is closed, and a sent
+// non-idempotent call that is sent again.
+func TestOnlySilentConnectionsDieWithinASecond(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		d := silent.New(silent.Defaults())
+		broken := rapid.IntRange(0, 2).Draw(t, "broken")
+		breaks := rapid.IntRange(0, 200).Draw(t, "breaks") * 10 // ms
+		every := rapid.IntRange(1, 35).Draw(t, "every") * 10    // ms between bytes on a working connection
+		risky := map[uint64]bool{}
+		for n := range 3 {
+			assert.Assert(t, d.Opened(start, conn(uint64(n))))
+			for i := range 4 {
+				ticket := uint64(n*10 + i)
+				d.Queued(start, conn(uint64(n)), silent.Call{Ticket: ticket, Idempotent: i%2 == 0})
+				if i < 2 {
+					d.Sent(start, conn(uint64(n)), ticket)
+				}
+				risky[ticket] = i == 1 // sent and not idempotent
+			}
+		}
+		died := -1
+		for ms := 0; ms <= breaks+1500; ms += 10 {
+			now := start.Add(time.Duration(ms) * time.Millisecond)
+			for n := range 3 {
+				if ms%every == 0 && (n != broken || ms < breaks) {
+					d.Seen(now, conn(uint64(n)))
+				}
+			}
+			if ms%100 != 0 {
+				continue
+			}
+			for _, v := range d.Check(now) {
+				assert.Equal(t, v.Conn, conn(uint64(broken)))
+				if v.State == silent.Dead {
+					died = ms
+					assert.Equal(t, len(v.Move)+len(v.Ask), 4)
+				}
+				for _, ticket := range v.Move {
+					assert.Assert(t, !risky[ticket], "call %d was sent and is not idempotent", ticket)
+				}
+			}
+		}
+		assert.Assert(t, died >= 0 && died <= breaks+1000, "broken at %d ms, found at %d ms", breaks, died)
+	})
+}
+
+// Guards against closing the connections of a peer that is slow on all of them, and those of a process that slept.
+func TestCommonSilenceIsNoEvidence(t *testing.T) {
+	for _, step := range []time.Duration{100 * time.Millisecond, 5 * time.Second} {
+		d := silent.New(silent.Defaults())
+		for n := range uint64(2) {
+			d.Opened(start, conn(n))
+			d.Queued(start, conn(n), silent.Call{Ticket: n})
+		}
+		d.Check(start)
+		for i := 1; i < 30; i++ {
+			now := start.Add(time.Duration(i) * step)
+			if step > time.Second {
+				d.Seen(now, conn(0)) // handled first after each pause
+			}
+			for _, v := range d.Check(now) {
+				assert.Equal(t, v.State, silent.Suspect)
+			}
+		}
+	}
+}
+
+// Guards against a long call or an idle connection that is taken for a silent one.
+func TestNothingOwedIsNoSilence(t *testing.T) {
+	d := silent.New(silent.Defaults())
+	d.Opened(start, conn(0))
+	d.Opened(start, conn(1))
+	d.Queued(start, conn(0), silent.Call{Ticket: 1, Long: true})
+	for i := range 50 {
+		now := start.Add(time.Duration(i) * 100 * time.Millisecond)
+		d.Seen(now, conn(1))
+		assert.Equal(t, len(d.Check(now)), 0)
+	}
+}
+
+// Guards against connections that grow without bound when every new one falls silent too.
+func TestOpeningsAreBounded(t *testing.T) {
+	d := silent.New(silent.Defaults())
+	opened, most := 0, 0
+	for i := range 100 { // 10 s
+		now := start.Add(time.Duration(i) * 100 * time.Millisecond)
+		if d.MayOpen(now, 7) {
+			c := conn(uint64(opened))
+			d.Opened(now, c)
+			d.Queued(now, c, silent.Call{Ticket: uint64(opened)})
+			opened++
+		}
+		if i%10 == 9 {
+			d.Closed(now, conn(uint64(opened-1)))
+		}
+		most = max(most, d.Conns())
+	}
+	assert.Assert(t, opened <= 13 && most <= 4, "%d opened, %d at once", opened, most)
+}
+
+func ExampleDetector() {
+	d := silent.New(silent.Defaults())
+	now := time.Unix(0, 0)
+	stuck, other := silent.Conn{Peer: 7, Number: 1}, silent.Conn{Peer: 7, Number: 2}
+	d.Opened(now, stuck)
+	d.Opened(now, other)
+	d.Queued(now, stuck, silent.Call{Ticket: 11, Idempotent: true})
+	d.Queued(now, stuck, silent.Call{Ticket: 12})
+	d.Sent(now, stuck, 11)
+	d.Sent(now, stuck, 12)
+	for range 9 {
+		now = now.Add(100 * time.Millisecond)
+		d.Seen(now, other)
+		for _, v := range d.Check(now) {
+			fmt.Println(v.Conn.Number, v.State == silent.Dead, v.Move, v.Ask)
+		}
+	}
+	// Output:
+	// 1 false [] []
+	// 1 true [11] [12]
+}
