io/outbound, core/retry: silent connections are found and replaced within a second

Cause: a call on a connection that lost its path waited for its deadline. Found while proving it: the detector forgot the comparison when it was closed; and a hop that had granted its whole retry budget to the lost attempt could not send again. It now keeps one unit, which changes no bound because nothing is created.

--- a/core/ledger/ticket.go
+++ b/core/ledger/ticket.go
@@ -42,12 +42,21 @@
 		}
 		r.nonce++
 		r.executor, r.state = executor, started
-		r.lent, r.left = r.left, 0
+		// One unit stays here: an attempt whose answer is lost returns nothing, and it may have to be repeated.
+		r.lent = max(r.left, 1) - 1
+		r.left -= r.lent
 		a, retries, err = r.attempt(t.id), int(r.lent), nil
 	})
 	return a, retries, err
 }
 
+// Retries returns the retries of the request that are not lent to an attempt.
+func (g *Ledger) Retries(now time.Time, t Ticket) int {
+	n := 0
+	g.with(now, t, func(r *record) { n = int(r.left) })
+	return n
+}
+
 // Returned records that the attempt was truly not executed, and how many of its retries are unused. The ticket stays
 // valid, so the handler may dispatch again.
 func (g *Ledger) Returned(now time.Time, t Ticket, a Attempt, unused int) {
@@ -107,7 +116,7 @@
 // back makes the record pending again.
 func (r *record) back(unused int) {
 	r.state = pending
-	r.left = min(clamp(unused), r.lent) // a hop never creates budget
+	r.left += min(clamp(unused), r.lent) // a hop never creates budget
 	r.lent = 0
 }
 
--- a/core/retry/budget.go
+++ b/core/retry/budget.go
@@ -42,6 +42,19 @@
 	if !sequential {
 		n = (n + 1) / 2
 	}
+	return b.grant(n)
+}
+
+// Lend sets units aside for one attempt that this hop may have to repeat itself: all but one. An attempt whose answer is
+// lost returns nothing, and a hop that had granted everything could not send again.
+func (b *Budget) Lend() *Grant {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.grant(max(b.left-1, 0))
+}
+
+// grant is called with the lock held.
+func (b *Budget) grant(n int) *Grant {
 	b.left -= n
 	return &Grant{from: b, units: n}
 }
--- a/core/silent/detector.go
+++ b/core/silent/detector.go
@@ -114,7 +114,13 @@
 func (d *Detector) Closed(_ time.Time, c Conn) {
 	removed := false
 	d.with(c.Peer, false, func(p *peer) {
-		_, removed = p.conns[c.Number]
+		var n *conn
+		if n, removed = p.conns[c.Number]; !removed {
+			return
+		}
+		if n.state != Dead && n.bytes.After(p.ended) {
+			p.ended = n.bytes
+		}
 		delete(p.conns, c.Number)
 	})
 	if removed {
--- a/core/silent/detector_test.go
+++ b/core/silent/detector_test.go
@@ -149,3 +149,26 @@
 	// 1 false [] []
 	// 1 true [11] [12]
 }
+
+// Guards against a comparison whose connection is closed before the next Check and counts for nothing. It was found with
+// real connections: pings open and close one between two Checks.
+func TestClosedConnectionIsEvidence(t *testing.T) {
+	for _, compare := range []bool{false, true} {
+		d := silent.New(silent.Defaults())
+		d.Opened(start, conn(1))
+		d.Queued(start, conn(1), silent.Call{Ticket: 1})
+		dead := false
+		for ms := 0; ms <= 1000; ms += 100 {
+			now := start.Add(time.Duration(ms) * time.Millisecond)
+			if ms == 500 && compare {
+				d.Opened(now, conn(2))
+				d.Seen(now, conn(2))
+				d.Closed(now, conn(2))
+			}
+			for _, v := range d.Check(now) {
+				dead = dead || v.State == silent.Dead
+			}
+		}
+		assert.Equal(t, dead, compare)
+	}
+}
--- a/core/silent/peer.go
+++ b/core/silent/peer.go
@@ -11,6 +11,7 @@
 type peer struct {
 	conns   map[uint64]*conn
 	opening bucket
+	ended   time.Time // last bytes on a connection that was closed in working order
 }
 
 // conn is one connection. It owes an answer while owing is above zero.
@@ -86,6 +87,9 @@
 
 // othersWork reports whether another connection showed bytes after the silence began.
 func (p *peer) othersWork(number uint64, since time.Time) bool {
+	if p.ended.After(since) {
+		return true
+	}
 	for other, n := range p.conns {
 		if other != number && n.state != Dead && n.bytes.After(since) {
 			return true
--- a/io/caller/server.go
+++ b/io/caller/server.go
@@ -15,6 +15,7 @@
 	"mustardmast/core/call"
 	"mustardmast/core/config"
 	"mustardmast/core/fault"
+	"mustardmast/core/retry"
 	"mustardmast/io/execute"
 	"mustardmast/io/header"
 	"mustardmast/io/message"
@@ -101,10 +102,7 @@
 	ctx, cancel := context.WithDeadline(q.Context(), r.Call.Deadline())
 	defer cancel()
 	a, err := s.dispatch.Dispatch(ctx, r)
-	if parent != nil {
-		parent.Lower(a.Level)
-		parent.Return(a.Retries)
-	}
+	parent.ended(a)
 	w.Header().Set(header.AdmissionLevel, strconv.Itoa(int(a.Level)))
 	w.Header().Set(header.RetryBudget, strconv.Itoa(a.Retries))
 	if err != nil {
@@ -126,7 +124,7 @@
 	return err
 }
 
-func (s *Server) read(q *http.Request) (*message.Request, *execute.Execution, error) {
+func (s *Server) read(q *http.Request) (*message.Request, *nested, error) {
 	spec, parent, err := s.spec(q)
 	if err != nil {
 		return nil, nil, err
@@ -145,7 +143,7 @@
 }
 
 // spec fills the parts of the call, from the configuration first, then the headers, then the parent's limits.
-func (s *Server) spec(q *http.Request) (call.Spec, *execute.Execution, error) {
+func (s *Server) spec(q *http.Request) (call.Spec, *nested, error) {
 	var spec call.Spec
 	c, _, ok := s.configs.Current()
 	if !ok {
@@ -206,7 +204,7 @@
 }
 
 // nest completes a sub-call, one that the target on this host makes while it runs another call.
-func (s *Server) nest(c config.Config, spec *call.Spec) (*execute.Execution, error) {
+func (s *Server) nest(c config.Config, spec *call.Spec) (*nested, error) {
 	spec.Depth = len(spec.Path) + 1
 	if slices.Contains(spec.Path, spec.Service) {
 		return nil, fault.Newf(fault.LoopDetected, "path %v to %q", spec.Path, spec.Service)
@@ -222,10 +220,26 @@
 	if err := s.nestID(spec, parent); err != nil {
 		return nil, err
 	}
-	if running {
-		spec.Retries = parent.Grant()
+	if !running {
+		return nil, nil
+	}
+	g := parent.Grant()
+	spec.Retries = g.Units()
+	return &nested{parent: parent, grant: g}, nil
+}
+
+// nested ties a sub-call to the call that the target runs. Nil is a call without a running parent.
+type nested struct {
+	parent *execute.Execution
+	grant  *retry.Grant
+}
+
+func (n *nested) ended(a execute.Answer) {
+	if n == nil {
+		return
 	}
-	return parent, nil
+	n.parent.Lower(a.Level)
+	n.grant.Return(a.Retries)
 }
 
 // inherit bounds a sub-call by its parent. Priority and backer are the parent's, so that every hop judges a request
--- a/io/dispatch/own.go
+++ b/io/dispatch/own.go
@@ -84,10 +84,12 @@
 			if n == 1 {
 				d.policy.Succeeded(d.clock.Now(), r.Call)
 			}
+			a.Retries += d.ledger.Retries(d.clock.Now(), o.ticket)
 			return a, nil
 		}
 		// The ledger holds the request's budget; the policy decides on the outcome, the deadline and the edge's ratio.
 		if !d.again(ctx, r.Call, retry.NewBudget(1), err, n) {
+			a.Retries = d.ledger.Retries(d.clock.Now(), o.ticket)
 			return a, err
 		}
 	}
--- a/io/dispatch/repeat.go
+++ b/io/dispatch/repeat.go
@@ -65,7 +65,7 @@
 		wait, hedge = d.picker.HedgeAfter(now, r.Call)
 	}
 	if !hedge {
-		return d.send(ctx, m, r, b.Grant(true), sendOptions{})
+		return d.send(ctx, m, r, b.Lend(), sendOptions{})
 	}
 	h := hedged{d: d, r: r, b: b, tried: tried}
 	return h.run(ctx, m, wait)
--- a/io/execute/executor.go
+++ b/io/execute/executor.go
@@ -156,7 +156,7 @@
 
 // send gives the call to the target. The slot is released when it fails or when the response's body is closed.
 func (x *Executor) send(ctx context.Context, ticket uint64, r *message.Request, h Hop) (*message.Response, *Execution, error) {
-	e := &Execution{call: r.Call, retries: r.Call.Retries(), level: mustardmast.FullLevel}
+	e := newExecution(r.Call)
 	passed, err := x.guard(r, h)
 	if err == nil {
 		x.running.add(e)
--- a/io/execute/running.go
+++ b/io/execute/running.go
@@ -5,6 +5,7 @@
 
 	"mustardmast"
 	"mustardmast/core/call"
+	"mustardmast/core/retry"
 )
 
 const runningShards = 16
@@ -77,38 +78,24 @@
 
 // Execution is one call that the target runs.
 type Execution struct {
-	call    call.Call
-	mu      sync.Mutex
-	retries int
-	level   mustardmast.Level
+	call   call.Call
+	budget *retry.Budget
+	mu     sync.Mutex
+	level  mustardmast.Level
+}
+
+func newExecution(c call.Call) *Execution {
+	return &Execution{call: c, budget: retry.NewBudget(c.Retries()), level: mustardmast.FullLevel}
 }
 
 // Call returns the call.
 func (e *Execution) Call() call.Call { return e.call }
 
-// Grant takes retries for a sub-call out of the budget: half of what is left, rounded up, because other sub-calls may
-// run beside it.
-func (e *Execution) Grant() int {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	n := (e.retries + 1) / 2
-	e.retries -= n
-	return n
-}
-
-// Return gives the unused part of a grant back.
-func (e *Execution) Return(n int) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	e.retries += n
-}
+// Grant takes retries for a sub-call out of the budget. Other sub-calls may run beside it, so it does not get all.
+func (e *Execution) Grant() *retry.Grant { return e.budget.Grant(false) }
 
 // Retries returns what is left.
-func (e *Execution) Retries() int {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	return e.retries
-}
+func (e *Execution) Retries() int { return e.budget.Left() }
 
 // Lower notes the level that a sub-call met.
 func (e *Execution) Lower(l mustardmast.Level) {
--- /dev/null
+++ b/io/outbound/conns.go
@@ -0,0 +1,167 @@
+package outbound
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"mustardmast"
+	"mustardmast/core/call"
+	"mustardmast/core/silent"
+)
+
+const (
+	// CheckPeriod is how often connections are judged.
+	CheckPeriod = 100 * time.Millisecond
+	// PingPath answers at once, so that a connection to a live peer shows bytes.
+	PingPath    = "/mustardmast/v1/ping"
+	dialTimeout = time.Second
+	pingTimeout = 500 * time.Millisecond
+)
+
+// Conns watches the connections to one kind of peer and closes those that are silent although their peer is alive. A
+// call on a closed connection fails like on any broken one, so the rules for broken connections apply to it.
+type Conns struct {
+	clock    mustardmast.Clock
+	dialer   net.Dialer
+	detector *silent.Detector
+	numbers  atomic.Uint64
+	tickets  atomic.Uint64
+	ping     *http.Client
+
+	mu   sync.Mutex
+	open map[silent.Conn]*watched
+}
+
+// NewConns returns a watcher without connections. Connections are opened from the local address, so that a peer sees
+// the address that this node is known by.
+func NewConns(clock mustardmast.Clock, local net.IP) *Conns {
+	c := &Conns{clock: clock, detector: silent.New(silent.Defaults()), open: map[silent.Conn]*watched{}}
+	c.dialer.Timeout = dialTimeout
+	if local != nil {
+		c.dialer.LocalAddr = &net.TCPAddr{IP: local}
+	}
+	c.ping = &http.Client{Timeout: pingTimeout, Transport: &http.Transport{DialContext: c.Dial, DisableKeepAlives: true}}
+	return c
+}
+
+// Dial opens a watched connection.
+func (c *Conns) Dial(ctx context.Context, network, address string) (net.Conn, error) {
+	n, err := c.dialer.DialContext(ctx, network, address)
+	if err != nil {
+		return nil, err
+	}
+	key := silent.Conn{Peer: mustardmast.NodeID(xxhash.Sum64String(address)), Number: c.numbers.Add(1)}
+	w := &watched{Conn: n, conns: c, key: key, address: address}
+	if c.detector.Opened(c.clock.Now(), key) {
+		c.mu.Lock()
+		c.open[key] = w
+		c.mu.Unlock()
+	}
+	return w, nil
+}
+
+// Check closes dead connections, and pings the peers of suspect ones so that there is something to compare with.
+func (c *Conns) Check(now time.Time) {
+	for _, v := range c.detector.Check(now) {
+		c.mu.Lock()
+		w, ok := c.open[v.Conn]
+		c.mu.Unlock()
+		switch {
+		case !ok:
+		case v.State == silent.Dead:
+			_ = w.Close()
+		case v.State == silent.Suspect && c.detector.MayOpen(now, v.Conn.Peer):
+			go c.compare(w.address)
+		}
+	}
+}
+
+// compare opens one more connection to a peer. If bytes come back, the silent one is at fault and not the peer.
+func (c *Conns) compare(address string) {
+	res, err := c.ping.Get("http://" + address + PingPath)
+	if err != nil {
+		return // the peer itself does not answer
+	}
+	_, _ = io.Copy(io.Discard, res.Body)
+	_ = res.Body.Close()
+}
+
+// watched is a connection that tells the detector of its bytes.
+type watched struct {
+	net.Conn
+	conns   *Conns
+	key     silent.Conn
+	address string
+	once    sync.Once
+}
+
+func (w *watched) Read(p []byte) (int, error) {
+	n, err := w.Conn.Read(p)
+	if n > 0 {
+		w.conns.detector.Seen(w.conns.clock.Now(), w.key)
+	}
+	return n, err
+}
+
+func (w *watched) Close() error {
+	w.once.Do(func() {
+		w.conns.detector.Closed(w.conns.clock.Now(), w.key)
+		w.conns.mu.Lock()
+		delete(w.conns.open, w.key)
+		w.conns.mu.Unlock()
+	})
+	return w.Conn.Close()
+}
+
+// use is one call's time on one connection.
+type use struct {
+	conns  *Conns
+	ticket uint64
+	call   silent.Call
+	mu     sync.Mutex
+	key    silent.Conn
+	on     bool
+}
+
+func (c *Conns) newUse(cl call.Call) *use {
+	u := &use{conns: c, ticket: c.tickets.Add(1)}
+	u.call = silent.Call{Ticket: u.ticket, Idempotent: cl.Idempotent(), Long: cl.Long()}
+	return u
+}
+
+// got is called with the connection that the call was given, again if the transport changes it.
+func (u *use) got(n net.Conn) {
+	w, ok := n.(*watched)
+	if !ok {
+		return
+	}
+	u.end()
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.key, u.on = w.key, true
+	u.conns.detector.Queued(u.conns.clock.Now(), w.key, u.call)
+}
+
+func (u *use) wrote() {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if u.on {
+		u.conns.detector.Sent(u.conns.clock.Now(), u.key, u.ticket)
+	}
+}
+
+func (u *use) end() {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if u.on {
+		u.conns.detector.Ended(u.conns.clock.Now(), u.key, u.ticket)
+		u.on = false
+	}
+}
--- a/io/outbound/outbound.go
+++ b/io/outbound/outbound.go
@@ -9,10 +9,12 @@
 	"io"
 	"net/http"
 	"net/http/httptrace"
+	"net/textproto"
 	"sync/atomic"
 
 	"github.com/pkg/errors"
 
+	"mustardmast/core/call"
 	"mustardmast/core/fault"
 	"mustardmast/io/message"
 )
@@ -23,6 +25,7 @@
 	unreachable fault.Kind
 	lost        fault.Kind
 	peer        string
+	conns       *Conns
 }
 
 // New returns a sender. The kinds are those for no connection and for a connection that broke; peer names the far end
@@ -31,10 +34,19 @@
 	return &Sender{transport: t, unreachable: unreachable, lost: lost, peer: peer}
 }
 
-// Send sends r.
-func (s *Sender) Send(ctx context.Context, r *http.Request) (*http.Response, error) {
+// Watch makes the sender tell c which call is on which connection. The transport must dial by c.
+func (s *Sender) Watch(c *Conns) { s.conns = c }
+
+// Send sends r, which carries the call c.
+func (s *Sender) Send(ctx context.Context, r *http.Request, c call.Call) (*http.Response, error) {
 	var connected atomic.Bool
 	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
+	var u *use
+	if s.conns != nil {
+		u = s.conns.newUse(c)
+		defer u.end()
+		trace = watchTrace(u, &connected)
+	}
 	res, err := s.transport.RoundTrip(r.WithContext(httptrace.WithClientTrace(ctx, trace)))
 	if err != nil {
 		return nil, s.explain(ctx, err, connected.Load())
@@ -42,6 +54,18 @@
 	return res, nil
 }
 
+func watchTrace(u *use, connected *atomic.Bool) *httptrace.ClientTrace {
+	return &httptrace.ClientTrace{
+		GotConn: func(i httptrace.GotConnInfo) {
+			connected.Store(true)
+			u.got(i.Conn)
+		},
+		WroteHeaders: u.wrote,
+		// With this hook the transport accepts any number of interim responses, by which a peer shows that it is alive.
+		Got1xxResponse: func(int, textproto.MIMEHeader) error { return nil },
+	}
+}
+
 func (s *Sender) explain(ctx context.Context, err error, connected bool) error {
 	expired := errors.Is(ctx.Err(), context.DeadlineExceeded)
 	switch {
--- a/io/peer/client.go
+++ b/io/peer/client.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"net/url"
 	"strconv"
@@ -21,6 +22,7 @@
 	clock     mustardmast.Clock
 	transport *http.Transport
 	sender    *outbound.Sender
+	conns     *outbound.Conns
 }
 
 // idleConnections bounds the connections kept open to one node. Opening one costs about a millisecond.
@@ -28,19 +30,26 @@
 
 // NewClient returns a client. It speaks HTTP/1.1 over kept-alive connections: HTTP/2 streams took 1.7 to 3.8 times as long
 // per call under parallel load, see docs/decisions/node-transport.md.
-func NewClient(clock mustardmast.Clock) *Client {
+func NewClient(clock mustardmast.Clock, local net.IP) *Client {
+	conns := outbound.NewConns(clock, local)
 	var p http.Protocols
 	p.SetHTTP1(true)
 	t := &http.Transport{
+		DialContext:           conns.Dial,
 		Protocols:             &p,
 		MaxIdleConnsPerHost:   idleConnections,
 		IdleConnTimeout:       90 * time.Second,
 		DisableCompression:    true,
 		ExpectContinueTimeout: time.Second,
 	}
-	return &Client{clock: clock, transport: t, sender: outbound.New(t, fault.PeerUnreachable, fault.PeerLost, "target's node")}
+	s := outbound.New(t, fault.PeerUnreachable, fault.PeerLost, "target's node")
+	s.Watch(conns)
+	return &Client{clock: clock, transport: t, sender: s, conns: conns}
 }
 
+// Check looks for silent connections. It is subscribed to the timer service with outbound.CheckPeriod.
+func (c *Client) Check(now time.Time) { c.conns.Check(now) }
+
 // Close closes idle connections.
 func (c *Client) Close() { c.transport.CloseIdleConnections() }
 
@@ -60,7 +69,7 @@
 	if err != nil {
 		return none, err
 	}
-	res, err := c.sender.Send(ctx, out)
+	res, err := c.sender.Send(ctx, out, r.Call)
 	if err != nil {
 		if fault.From(err).Outcome() == fault.NotExecuted {
 			none.Retries = r.Call.Retries()
--- a/io/peer/server.go
+++ b/io/peer/server.go
@@ -17,6 +17,7 @@
 	"mustardmast/io/execute"
 	"mustardmast/io/header"
 	"mustardmast/io/message"
+	"mustardmast/io/outbound"
 )
 
 const (
@@ -45,6 +46,7 @@
 func (s *Server) Mount(m *http.ServeMux) {
 	m.Handle(executePath+"/", s.handler(executePath, s.executor))
 	m.Handle(ownPath+"/", s.handler(ownPath, s.owner))
+	m.HandleFunc("GET "+outbound.PingPath, func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusNoContent) })
 }
 
 func (s *Server) handler(prefix string, run Runner) http.Handler {
@@ -56,7 +58,9 @@
 		}
 		ctx, cancel := withDeadline(q.Context(), r.Call)
 		defer cancel()
+		alive := startProgress(w, q)
 		a, err := run.Execute(ctx, r, h)
+		alive.stop()
 		header.WriteLoad(w.Header(), a.Load)
 		w.Header().Set(header.AdmissionLevel, strconv.Itoa(int(a.Level)))
 		w.Header().Set(header.RetryBudget, strconv.Itoa(a.Retries))
--- a/io/target/client.go
+++ b/io/target/client.go
@@ -41,7 +41,7 @@
 	if err != nil {
 		return nil, err
 	}
-	res, err := c.sender.Send(ctx, out)
+	res, err := c.sender.Send(ctx, out, seen)
 	if err != nil {
 		return nil, err
 	}
--- a/node/node.go
+++ b/node/node.go
@@ -29,6 +29,7 @@
 	"mustardmast/io/dispatch"
 	"mustardmast/io/eventlog"
 	"mustardmast/io/execute"
+	"mustardmast/io/outbound"
 	"mustardmast/io/peer"
 	"mustardmast/io/target"
 )
@@ -78,7 +79,7 @@
 func New(p Parts) *Node {
 	now := p.Timers.Now()
 	n := &Node{
-		parts: p, local: &target.Local{}, running: execute.NewRunning(), targets: target.NewClient(), peers: peer.NewClient(p.Timers),
+		parts: p, local: &target.Local{}, running: execute.NewRunning(), targets: target.NewClient(), peers: peer.NewClient(p.Timers, p.Self.Address.Addr().AsSlice()),
 		admit:     admit.New(admit.Spec{Slots: initialSlots}),
 		register:  p.Register,
 		callerMux: http.NewServeMux(), peerMux: http.NewServeMux(),
@@ -113,6 +114,7 @@
 	n.serve(callers, n.callerMux)
 	n.serve(peers, n.peerMux)
 	n.every(admitPeriod, n.executor.Tick)
+	n.every(outbound.CheckPeriod, n.peers.Check)
 	n.every(tablePeriod, func(now time.Time) {
 		n.ledger.Tick(now)
 		n.register.Tick(now)
