--- /dev/null
+++ b/io/cli/texts.go
@@ -0,0 +1,147 @@
+package cli
+
+import (
+	"io"
+	"os"
+
+	"mustardmast/core/config"
+	"mustardmast/core/fault"
+	"mustardmast/io/text"
+)
+
+// read returns the content of a file, or of standard input.
+func (o *output) read(name string) ([]byte, error) {
+	in := o.env.In
+	if name != "-" {
+		f, err := os.Open(name)
+		if err != nil {
+			return nil, fault.Wrap(err, fault.BadRequest, "configuration text")
+		}
+		defer func() { _ = f.Close() }()
+		in = f
+	}
+	b, err := io.ReadAll(io.LimitReader(in, text.MaxBytes+1))
+	if err != nil {
+		return nil, fault.Wrap(err, fault.Internal, "configuration text "+name)
+	}
+	return b, nil
+}
+
+func (o *output) load(name string) ([]byte, config.Config, error) {
+	src, err := o.read(name)
+	if err != nil {
+		return nil, config.Config{}, err
+	}
+	c, faults := text.Decode(src)
+	return src, c, faults.Err()
+}
+
+type check struct {
+	output
+	Canonical bool         `long:"canonical" description:"print the text with defaults written out and names sorted"`
+	Args      fileArgument `positional-args:"yes" required:"yes"`
+}
+
+// Execute runs the command.
+func (c *check) Execute(args []string) error {
+	if err := c.noMore(args); err != nil {
+		return err
+	}
+	src, parsed, err := c.load(c.Args.File)
+	switch {
+	case err != nil:
+		return c.fail(err)
+	case c.Canonical:
+		c.printf("%s", text.Encode(parsed))
+	case c.json():
+		c.write(wireChecked{Valid: true, Services: len(parsed.Services()), Backers: len(parsed.Backers()), Bytes: len(src)})
+	default:
+		c.printf("valid: %d services, %d backers, %d bytes\n", len(parsed.Services()), len(parsed.Backers()), len(src))
+	}
+	return nil
+}
+
+type diff struct {
+	output
+	From     string       `long:"from" value-name:"FILE" description:"compare with this text instead of the platform's"`
+	Platform string       `long:"platform" env:"MUSTARDMAST_PLATFORM" value-name:"URL" description:"address of the platform's object API"`
+	Args     fileArgument `positional-args:"yes" required:"yes"`
+}
+
+// Execute runs the command.
+func (c *diff) Execute(args []string) error {
+	if err := c.noMore(args); err != nil {
+		return err
+	}
+	_, to, err := c.load(c.Args.File)
+	if err != nil {
+		return c.fail(err)
+	}
+	from, name, err := c.other()
+	if err != nil {
+		return c.fail(err)
+	}
+	delta := config.Diff(from, to)
+	if c.json() {
+		c.write(deltaToWire(name, delta))
+		return nil
+	}
+	c.printf("from %s\n", name)
+	c.delta(delta)
+	return nil
+}
+
+// other returns the configuration to compare with.
+func (c *diff) other() (config.Config, string, error) {
+	if c.From != "" {
+		_, from, err := c.load(c.From)
+		return from, c.From, err
+	}
+	if c.Platform == "" {
+		return config.Config{}, "", fault.New(fault.BadRequest, "nothing to compare with; give --platform or --from")
+	}
+	s, err := c.store(platformOptions{Platform: c.Platform})
+	if err != nil {
+		return config.Config{}, "", err
+	}
+	ctx, cancel := c.context()
+	defer cancel()
+	st, err := s.Read(ctx)
+	if err != nil {
+		return config.Config{}, "", err
+	}
+	return inForce(st.Text), generationName(st.Generation), nil
+}
+
+// inForce reads a text that was accepted before. An empty or unreadable one counts as an empty configuration, because
+// the point of a diff is then that everything is new.
+func inForce(stored string) config.Config {
+	c, faults := text.Decode([]byte(stored))
+	if len(faults) > 0 {
+		c, _ = text.Decode([]byte("{}"))
+	}
+	return c
+}
+
+// delta prints a difference for people.
+func (o *output) delta(d config.Delta) {
+	if d.Empty() {
+		o.printf("  no value changes\n")
+		return
+	}
+	for _, c := range d.Changes {
+		o.printf("  %s\n", c.Words)
+	}
+	heading := false
+	for _, s := range d.Shares {
+		if !s.Differs() {
+			continue
+		}
+		if !heading {
+			o.printf("shares (guaranteed; while every backer has more demand than its share)\n")
+			heading = true
+		}
+		o.printf("  %s: %s%% -> %s%%; %s%% -> %s%%\n", s.Backer, config.FormatPercent(s.GuaranteedFrom), config.FormatPercent(s.GuaranteedTo),
+			config.FormatPercent(s.ContendedFrom), config.FormatPercent(s.ContendedTo))
+	}
+}
--- a/io/operator/wire.go
+++ b/io/operator/wire.go
@@ -198,3 +198,6 @@
 	return Announcement{Address: address, Service: w.Service, Slots: w.Slots, Connections: w.Connections,
 		HealthPath: w.HealthPath, LoadPath: w.LoadPath, Draining: w.State == "draining"}, nil
 }
+
+// StateName returns the name of a member state in status reports.
+func StateName(s mustardmast.MemberState) string { return stateNames[s] }
--- a/io/text/text_test.go
+++ b/io/text/text_test.go
@@ -74,15 +74,18 @@
 
 // Guards against a page that promises another default or bound than the code has.
 func TestPageListsEveryKey(t *testing.T) {
-	page, err := os.ReadFile("../../docs/configuration.md")
+	whole, err := os.ReadFile("../../docs/configuration.md")
 	assert.NilError(t, err)
+	_, page, _ := strings.Cut(string(whole), "## Keys\n")
+	page, example, ok := strings.Cut(page, "## Example\n")
+	assert.Assert(t, ok)
 	for _, k := range text.Keys() {
 		row := fmt.Sprintf("| `%s` | %s | %s | %s | %s | %s |", k.Path, k.Type, k.Unit, k.Default, k.Bounds, k.Meaning)
-		assert.Assert(t, strings.Contains(string(page), row+"\n"), "docs/configuration.md lacks the row\n%s", row)
+		assert.Assert(t, strings.Contains(page, row+"\n"), "docs/configuration.md lacks the row\n%s", row)
 	}
-	rows := strings.Count(string(page), "\n| `")
+	rows := strings.Count(page, "\n| `")
 	assert.Equal(t, rows, len(text.Keys()), "docs/configuration.md has rows for keys that do not exist")
-	example := strings.SplitN(strings.SplitN(string(page), "```json\n", 2)[1], "```", 2)[0]
+	example = strings.SplitN(strings.SplitN(example, "```json\n", 2)[1], "```", 2)[0]
 	_, faults := text.Decode([]byte(example))
 	assert.NilError(t, faults.Err())
 }
