--- a/io/cli/cli_test.go
+++ b/io/cli/cli_test.go
@@ -157,7 +157,12 @@
 	w.apply("ada", "three.json", 1, "longer deadline", "--no-fleet", "--output", "json")
 	w.run("ada", "history", "--platform", w.url)
 	w.apply("ada", "three.json", 2, "longer deadline, bo agrees", "--no-fleet")
+	before := w.stub.Counters()
 	w.run("ada", "rollback", "--to", "2", "--why", "deadline was fine", "--platform", w.url, "--no-fleet")
+	after := w.stub.Counters()
+	// Two reads of the configuration, one of the text to restore, one of the slot that the replaced text goes to.
+	assert.Equal(t, after.Gets-before.Gets, uint64(4))
+	assert.Equal(t, after.Puts-before.Puts, uint64(2))
 	w.run("ada", "rollback", "--to", "9", "--why", "no such", "--platform", w.url, "--no-fleet")
 	w.run("ada", "history", "--platform", w.url, "--output", "json", "--limit", "2")
 	w.golden("two-operators.golden")
--- a/io/cli/wire.go
+++ b/io/cli/wire.go
@@ -73,9 +73,9 @@
 }
 
 type wireAccepted struct {
-	Change   wireEntry  `json:"change"`
-	Restored bool       `json:"platform-was-restored"`
-	Delta    *wireDelta `json:"diff,omitempty"`
+	Change   wireEntry `json:"change"`
+	Restored bool      `json:"platform-was-restored"`
+	Delta    wireDelta `json:"diff"`
 }
 
 type wireText struct {
--- a/io/platform/client.go
+++ b/io/platform/client.go
@@ -91,7 +91,9 @@
 		own.Proxy = nil // the platform is addressed directly
 		s.Transport = own
 	}
-	return &Client{s: s, base: base, http: &http.Client{Transport: s.Transport}, wait: sleep}, nil
+	// A redirect is not followed, because it would send a write twice.
+	stay := func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
+	return &Client{s: s, base: base, http: &http.Client{Transport: s.Transport, CheckRedirect: stay}, wait: sleep}, nil
 }
 
 // Get reads one object.
--- a/io/store/apply.go
+++ b/io/store/apply.go
@@ -25,7 +25,9 @@
 // Result is an accepted change.
 type Result struct {
 	Entry    audit.Entry
-	Restored bool // the platform was behind the fleet, so it had been set back to an older state
+	Restored bool   // the platform was behind the fleet, so it had been set back to an older state
+	Before   string // text that was replaced
+	After    string
 }
 
 // ConflictError names the change that came first. It is the cause of an error of kind conflict.
@@ -87,10 +89,10 @@
 	if st.Generation != r.Expected {
 		return Result{}, conflict(st, r.Expected)
 	}
-	if err := s.keepText(ctx, st); err != nil {
-		return Result{}, err
+	trail, err := s.preserve(ctx, st)
+	if fault.KindOf(err) == fault.Conflict {
+		return Result{}, s.lostRace(ctx, r.Expected, err)
 	}
-	trail, err := s.rollOver(ctx, st.Trail)
 	if err != nil {
 		return Result{}, err
 	}
@@ -98,7 +100,7 @@
 	if err != nil {
 		return Result{}, err
 	}
-	done := Result{Entry: e, Restored: r.Fleet > st.Generation}
+	done := Result{Entry: e, Restored: r.Fleet > st.Generation, Before: st.Text, After: r.Text}
 	o := mustardmast.Object{Name: ObjectName, Version: st.Version, Value: value}
 	_, err = s.s.Platform.Put(ctx, o)
 	switch fault.KindOf(err) {
@@ -113,6 +115,14 @@
 	}
 }
 
+// preserve writes what must outlive the change, and returns the trail that remains.
+func (s *Store) preserve(ctx context.Context, st State) (audit.Trail, error) {
+	if err := s.keepText(ctx, st); err != nil {
+		return st.Trail, err
+	}
+	return s.rollOver(ctx, st.Trail)
+}
+
 // lostRace names the change that won.
 func (s *Store) lostRace(ctx context.Context, expected uint64, cause error) error {
 	st, err := s.Read(ctx)
