--- a/Makefile
+++ b/Makefile
@@ -9,6 +9,9 @@
 test:
 	$(GO) test -race -timeout 20m ./...
 
+measure:
+	$(GO) run ./cmd/measure
+
 generate:
 	@if [ -d proto ]; then PATH="$$(.ci/tools):$$PATH" buf generate; fi
 	@PATH="$$(.ci/tools):$$PATH" $(GO) generate ./...
--- a/admitter.go
+++ b/admitter.go
@@ -38,6 +38,7 @@
 type Completion struct {
 	Ticket  uint64
 	Latency time.Duration // from hand-over to the target until its answer was complete
+	Below   time.Duration // the part of Latency in which the target waited for its own sub-calls, 0 if unknown
 	Kind    fault.Kind    // fault.None on success
 }
 
--- /dev/null
+++ b/cmd/measure/main.go
@@ -0,0 +1,32 @@
+// Command measure prints the overload measures of the core beside its baselines; see package internal/measure.
+package main
+
+import (
+	"fmt"
+	"os"
+
+	"github.com/jessevdk/go-flags"
+
+	"mustardmast/internal/measure"
+)
+
+type options struct {
+	Seeds []uint64 `long:"seed" description:"seed of the arrivals; may be given several times"`
+}
+
+func main() {
+	var o options
+	if _, err := flags.Parse(&o); err != nil {
+		os.Exit(2)
+	}
+	if len(o.Seeds) == 0 {
+		o.Seeds = measure.Seeds
+	}
+	short := 0
+	for _, r := range measure.Run(os.Stdout, o.Seeds) {
+		if !r.OK && r.Bound != "" {
+			short++
+		}
+	}
+	fmt.Printf("%d short\n", short)
+}
--- a/core/admit/admit.go
+++ b/core/admit/admit.go
@@ -1,11 +1,12 @@
 // Package admit decides which calls the target on this host runs, and when.
 //
-// An Admitter combines a concurrency limit, a short queue and the shares of the backers. A call that finds a slot
-// runs. Otherwise it waits, if its deadline can still be met, or it is refused before any work is done. A slot that
-// comes free goes to the most important call that waits.
+// An Admitter combines the parts below core: the level of the call's priority and backer against its cohort (core/shed),
+// the concurrency limit (core/limit), the cost class (core/cost), and a short queue (core/queue) with the shares of the
+// backers (core/share). A call below its level that finds a slot runs. Otherwise it waits, if its deadline can still be
+// met, or it is refused before any work is done. A slot that comes free goes to the most important call that waits.
 //
 // One lock guards the state. A target is called some hundred or thousand times a second and a decision takes about a
-// microsecond, so the lock is held for well under a hundredth of the time; see the benchmark.
+// microsecond, so the lock is held for well under a hundredth of the time; see the benchmarks.
 package admit
 
 import (
@@ -15,18 +16,25 @@
 	"mustardmast"
 	"mustardmast/core/call"
 	"mustardmast/core/config"
+	"mustardmast/core/cost"
 	"mustardmast/core/fault"
 	"mustardmast/core/limit"
 	"mustardmast/core/queue"
 	"mustardmast/core/share"
+	"mustardmast/core/shed"
 )
 
-// Defaults of a Spec.
 const (
 	// DefaultWait is the bound on the time in the queue. A longer wait costs the caller more than a retry elsewhere.
 	DefaultWait = 100 * time.Millisecond
+	// longWait is the bound for long jobs, which wait for one of few slots.
+	longWait = 2 * time.Second
 	// minQueue is the bound on the queue's length for a target with few slots.
 	minQueue = 16
+	// longPart is the part of the limit that long jobs may hold.
+	longPart = 0.25
+	// shedRetryAfter is what a shed caller is told to wait: the time in which levels change noticeably.
+	shedRetryAfter = time.Second
 )
 
 // Spec has the parts of an Admitter by name.
@@ -44,13 +52,21 @@
 	share   *share.Share
 	limit   *limit.Limit
 	queue   *queue.Queue
+	shed    *shed.Shed
+	cost    *cost.Cost
 	waiting map[uint64]mustardmast.Work
 	running map[uint64]running
+	long    int                   // running long jobs
 	owed    []mustardmast.Verdict // refusals of evicted work, for the next Done or Tick; at most queue length
+	window  window
 }
 
 type running struct {
-	since time.Time
+	method   string
+	backer   string
+	priority call.Priority
+	declared bool
+	long     bool
 }
 
 var _ mustardmast.Admitter = (*Admitter)(nil)
@@ -63,6 +79,7 @@
 	a := &Admitter{
 		spec:    s,
 		limit:   limit.New(s.Slots),
+		cost:    cost.New(),
 		waiting: make(map[uint64]mustardmast.Work),
 		running: make(map[uint64]running),
 	}
@@ -80,6 +97,7 @@
 func (a *Admitter) configure(backers []config.Backer) {
 	a.share = share.New(backers)
 	a.queue = queue.New(queue.Spec{Length: a.queueLength(), Wait: a.spec.QueueWait, Weights: a.share.Weights()})
+	a.shed = shed.New(a.share)
 }
 
 // SetSlots changes the number of slots that the target states. Calls that run are not interrupted.
@@ -90,7 +108,7 @@
 	a.limit.SetSlots(n)
 }
 
-// SetBackers takes a new configuration. Calls that wait keep their place as far as the new shares allow.
+// SetBackers takes a new configuration. Calls that wait are queued again by the new shares, levels start anew.
 func (a *Admitter) SetBackers(now time.Time, backers []config.Backer) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -115,12 +133,25 @@
 	if !w.Deadline.IsZero() && !now.Before(w.Deadline) {
 		return refuse(w.Ticket, fault.DeadlinePassed, 0)
 	}
-	if len(a.running) < a.limit.Value() && a.queue.Len() == 0 {
+	b, p, cohort := a.share.Index(w.Call.Backer()), w.Call.Priority(), w.Call.Cohort()
+	a.shed.Arrived(p, b, cohort, w.Withheld)
+	if cohort >= int(a.shed.Level(p, b)) {
+		return refuse(w.Ticket, fault.Shed, shedRetryAfter)
+	}
+	long := a.cost.Long(w.Call.Method(), w.Long)
+	// Whatever could run already does, so the queue holds nothing that has to go first.
+	if len(a.running) < a.limit.Value() && (!long || a.long < a.longSlots()) {
 		return a.start(now, w)
 	}
+	if a.limit.Stalled() {
+		a.window.refused++
+		return refuse(w.Ticket, fault.QueueFull, a.spec.QueueWait)
+	}
 	return a.enqueue(now, w)
 }
 
+func (a *Admitter) longSlots() int { return max(int(float64(a.limit.Value())*longPart), 1) }
+
 func (a *Admitter) known(ticket uint64) bool {
 	if _, ok := a.running[ticket]; ok {
 		return true
@@ -130,25 +161,31 @@
 }
 
 func (a *Admitter) start(now time.Time, w mustardmast.Work) mustardmast.Verdict {
-	a.running[w.Ticket] = running{since: now}
+	a.account(now)
+	r := running{method: w.Call.Method(), backer: w.Call.Backer(), priority: w.Call.Priority(), declared: w.Long}
+	r.long = a.cost.Long(r.method, r.declared)
+	a.running[w.Ticket] = r
+	if r.long {
+		a.long++
+	}
+	a.window.started++
+	a.limit.Start(now, len(a.running), r.long)
 	return mustardmast.Verdict{Ticket: w.Ticket, Action: mustardmast.Run}
 }
 
 func (a *Admitter) enqueue(now time.Time, w mustardmast.Work) mustardmast.Verdict {
 	if len(a.owed) >= a.queueLength() {
+		a.window.refused++
 		return refuse(w.Ticket, fault.QueueFull, a.spec.QueueWait)
 	}
-	evicted, has, ok := a.queue.Push(now, queue.Item{
-		Ticket:   w.Ticket,
-		Priority: w.Call.Priority(),
-		Backer:   a.share.Index(w.Call.Backer()),
-		Deadline: w.Deadline,
-		Long:     w.Long,
-	})
+	it := a.item(w)
+	evicted, has, ok := a.queue.Push(now, it)
 	if !ok {
+		a.window.refused++
 		return refuse(w.Ticket, fault.QueueFull, a.spec.QueueWait)
 	}
 	if has {
+		a.window.refused++
 		delete(a.waiting, evicted.Ticket)
 		a.owed = append(a.owed, refuse(evicted.Ticket, fault.QueueFull, a.spec.QueueWait))
 	}
@@ -156,6 +193,24 @@
 	return mustardmast.Verdict{Ticket: w.Ticket, Action: mustardmast.Wait}
 }
 
+func (a *Admitter) item(w mustardmast.Work) queue.Item {
+	it := queue.Item{
+		Ticket:   w.Ticket,
+		Priority: w.Call.Priority(),
+		Backer:   a.share.Index(w.Call.Backer()),
+		Deadline: w.Deadline,
+		Long:     a.cost.Long(w.Call.Method(), w.Long),
+		Expected: a.cost.Base(w.Call.Method()) / 4, // most calls take longer than a quarter of the mean
+	}
+	if short := a.cost.Short(); short > 0 {
+		it.Cost = max(a.cost.Mean(w.Call.Method()).Seconds()/short.Seconds(), 0.1)
+	}
+	if it.Long {
+		it.Wait = longWait
+	}
+	return it
+}
+
 func refuse(ticket uint64, k fault.Kind, after time.Duration) mustardmast.Verdict {
 	return mustardmast.Verdict{Ticket: ticket, Action: mustardmast.Refuse, Kind: k, RetryAfter: after}
 }
@@ -164,13 +219,35 @@
 func (a *Admitter) Done(now time.Time, c mustardmast.Completion) []mustardmast.Verdict {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if _, ok := a.running[c.Ticket]; !ok {
+	r, ok := a.running[c.Ticket]
+	if !ok {
 		return nil
 	}
+	a.account(now)
 	delete(a.running, c.Ticket)
+	if r.long {
+		a.long--
+	}
+	a.learn(now, r, c)
 	return a.serve(now, a.settle())
 }
 
+func (a *Admitter) learn(now time.Time, r running, c mustardmast.Completion) {
+	own := max(c.Latency-c.Below, 0)
+	s := limit.Sample{Latency: own, Base: a.cost.Base(r.method), Long: r.long, Refused: c.Kind == fault.TargetRefused}
+	switch c.Kind {
+	case fault.None, fault.AnswerCut:
+		s.Done = true
+	}
+	a.limit.End(now, s)
+	if s.Done {
+		a.cost.Observe(r.method, r.declared, own)
+		if !r.long {
+			a.shed.Ran(r.priority, a.share.Index(r.backer), c.Latency)
+		}
+	}
+}
+
 // settle returns the verdicts that are owed.
 func (a *Admitter) settle() []mustardmast.Verdict {
 	vs := a.owed
@@ -181,7 +258,7 @@
 // serve starts waiting calls while there are free slots, and refuses those found past their latest start.
 func (a *Admitter) serve(now time.Time, vs []mustardmast.Verdict) []mustardmast.Verdict {
 	for len(a.running) < a.limit.Value() {
-		it, ok := a.queue.Pop(now, true)
+		it, ok := a.queue.Pop(now, a.long < a.longSlots())
 		if !ok {
 			break
 		}
@@ -189,12 +266,14 @@
 		delete(a.waiting, it.Ticket)
 		vs = append(vs, a.start(now, w))
 	}
+	a.window.see(a.queue.Len())
 	return a.expire(now, a.queue.Dropped(), vs)
 }
 
 func (a *Admitter) expire(now time.Time, items []queue.Item, vs []mustardmast.Verdict) []mustardmast.Verdict {
 	for _, it := range items {
 		delete(a.waiting, it.Ticket)
+		a.window.refused++
 		k := fault.QueueFull
 		if !it.Deadline.IsZero() && !now.Before(it.Deadline) {
 			k = fault.DeadlinePassed
@@ -223,12 +302,16 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	vs := a.expire(now, a.queue.TakeExpired(now), a.settle())
+	a.limit.Tick(now, a.cost.Short())
+	a.advance(now)
 	return a.serve(now, vs)
 }
 
 // LevelFor implements mustardmast.Admitter.
-func (a *Admitter) LevelFor(time.Time, call.Priority, string) mustardmast.Level {
-	return mustardmast.FullLevel
+func (a *Admitter) LevelFor(_ time.Time, p call.Priority, backer string) mustardmast.Level {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.shed.Level(p, a.share.Index(backer))
 }
 
 // Load implements mustardmast.Admitter.
--- /dev/null
+++ b/core/level/level.go
@@ -0,0 +1,187 @@
+// Package level remembers, at the sender, which part of each kind of request a service admits.
+//
+// Answers carry the level of the service that gave them, already reduced to the lowest level of what it depends on. A
+// sender that has learned a level refuses a call that the chain would shed anyway, before any work is done. Targets of
+// one service differ a little; the table keeps a running average over their answers.
+//
+// A refused call never reaches the service, which would therefore not know the demand. The table counts the calls
+// withheld since the last forwarded one, and that number travels with the next call. When no call would be forwarded
+// at all, one is let through from time to time, so that the count arrives and the level is renewed.
+//
+// What was learned expires after 2 s. The table is bounded; at the bound, new kinds are not learned, which means that
+// their calls are forwarded and judged at the target. Unknown backers share one entry.
+package level
+
+import (
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"mustardmast"
+	"mustardmast/core/call"
+	"mustardmast/core/share"
+)
+
+const (
+	// Expiry is the time that a learned level holds.
+	Expiry = 2 * time.Second
+	// probeEvery is the time after which one call is forwarded although its cohort is above the level.
+	probeEvery = 200 * time.Millisecond
+	// DefaultSize bounds the table: about 100 services with 4 priorities and 10 backers.
+	DefaultSize = 4096
+	shards      = 16
+	// weight averages over the last answers of several targets.
+	weight = 0.25
+)
+
+// Spec has the parts of a Table by name.
+type Spec struct {
+	Share *share.Share
+	Size  int // bound on the entries, 0 takes DefaultSize
+}
+
+// Table holds learned levels. It is safe for concurrent use. Use New.
+type Table struct {
+	share  *share.Share
+	bound  int // per shard
+	shards [shards]shard
+}
+
+type shard struct {
+	mu      sync.Mutex
+	entries map[key]*entry
+}
+
+type key struct {
+	service  string
+	priority call.Priority
+	backer   int
+}
+
+type entry struct {
+	level     float64
+	learned   time.Time
+	forwarded time.Time
+	withheld  uint32
+}
+
+// New returns an empty table.
+func New(s Spec) *Table {
+	if s.Size <= 0 {
+		s.Size = DefaultSize
+	}
+	t := &Table{share: s.Share, bound: max(s.Size/shards, 1)}
+	for i := range t.shards {
+		t.shards[i].entries = make(map[key]*entry)
+	}
+	return t
+}
+
+func (t *Table) shard(service string) *shard {
+	return &t.shards[xxhash.Sum64String(service)%shards]
+}
+
+// Learn takes the level that an answer of a service carried.
+func (t *Table) Learn(now time.Time, service string, p call.Priority, backer string, l mustardmast.Level) {
+	k := key{service, p, t.share.Index(backer)}
+	s := t.shard(service)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	e := s.entries[k]
+	if e == nil {
+		if l >= mustardmast.FullLevel {
+			return // full is what is assumed without an entry
+		}
+		if !s.room(now, t.bound) {
+			return
+		}
+		e = &entry{level: call.Cohorts, forwarded: now}
+		s.entries[k] = e
+	}
+	v := float64(min(l, mustardmast.FullLevel))
+	if !e.fresh(now) {
+		e.level = v
+	}
+	e.level += (v - e.level) * weight
+	e.learned = now
+}
+
+// room makes room for one entry by dropping those that have expired and have nothing to report.
+func (s *shard) room(now time.Time, bound int) bool {
+	if len(s.entries) < bound {
+		return true
+	}
+	for k, e := range s.entries {
+		if !e.fresh(now) {
+			delete(s.entries, k)
+		}
+	}
+	return len(s.entries) < bound
+}
+
+func (e *entry) fresh(now time.Time) bool { return !e.learned.IsZero() && now.Sub(e.learned) < Expiry }
+
+func (e *entry) value(now time.Time) mustardmast.Level {
+	if !e.fresh(now) {
+		return mustardmast.FullLevel
+	}
+	return mustardmast.Level(e.level + 0.5)
+}
+
+// Level returns what is known of a service, FullLevel if nothing is.
+func (t *Table) Level(now time.Time, service string, p call.Priority, backer string) mustardmast.Level {
+	s := t.shard(service)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if e := s.entries[key{service, p, t.share.Index(backer)}]; e != nil {
+		return e.value(now)
+	}
+	return mustardmast.FullLevel
+}
+
+// Min returns the lowest level of several services. A node answers with the lower of this, over what its service
+// depends on, and its own level.
+func (t *Table) Min(now time.Time, services []string, p call.Priority, backer string) mustardmast.Level {
+	l := mustardmast.FullLevel
+	for _, s := range services {
+		l = min(l, t.Level(now, s, p, backer))
+	}
+	return l
+}
+
+// Admit reports whether a call may be forwarded to a service. Carried is the number of withheld calls that came with
+// the call that this one belongs to, 0 at the entry. For a forwarded call it returns the number to send with it; for
+// a refused one the number is kept for the next.
+func (t *Table) Admit(now time.Time, service string, c call.Call, carried uint32) (withheld uint32, ok bool) {
+	s := t.shard(service)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	e := s.entries[key{service, c.Priority(), t.share.Index(c.Backer())}]
+	if e == nil {
+		return carried, true
+	}
+	if c.Cohort() < int(e.value(now)) || now.Sub(e.forwarded) >= probeEvery {
+		withheld = add(e.withheld, carried)
+		e.withheld, e.forwarded = 0, now
+		return withheld, true
+	}
+	e.withheld = add(e.withheld, add(carried, 1))
+	return 0, false
+}
+
+// maxWithheld bounds a count that came from outside.
+const maxWithheld = 1 << 20
+
+func add(a, b uint32) uint32 { return min(min(a, maxWithheld)+min(b, maxWithheld), maxWithheld) }
+
+// Len returns the number of entries.
+func (t *Table) Len() int {
+	n := 0
+	for i := range t.shards {
+		t.shards[i].mu.Lock()
+		n += len(t.shards[i].entries)
+		t.shards[i].mu.Unlock()
+	}
+	return n
+}
--- a/core/share/share.go
+++ b/core/share/share.go
@@ -51,3 +51,46 @@
 
 // Weights returns the weight of each entry. The slice must not be changed.
 func (s *Share) Weights() []float64 { return s.weights }
+
+// Split divides a capacity between entries by weighted max-min: nobody gets more than its demand, and what somebody
+// leaves is divided among the others by weight. It writes the result to alloc, which is as long as demand, and returns
+// what is left over.
+func (s *Share) Split(capacity float64, demand, alloc []float64) float64 {
+	clear(alloc)
+	rest := max(capacity, 0)
+	for range demand {
+		var open float64
+		for i, d := range demand {
+			if alloc[i] < d {
+				open += s.weights[i]
+			}
+		}
+		if open <= 0 || rest <= 0 {
+			break
+		}
+		rest = s.round(rest, open, demand, alloc)
+	}
+	return rest
+}
+
+// round gives every open entry its part of rest, and returns what entries did not need. When no entry is satisfied,
+// everything is given away and the division is complete.
+func (s *Share) round(rest, open float64, demand, alloc []float64) float64 {
+	satisfied, used := false, 0.0
+	for i, d := range demand {
+		if need := d - alloc[i]; need > 0 && need <= rest*s.weights[i]/open {
+			alloc[i] = d
+			used += need
+			satisfied = true
+		}
+	}
+	if satisfied {
+		return max(rest-used, 0)
+	}
+	for i, d := range demand {
+		if alloc[i] < d {
+			alloc[i] += rest * s.weights[i] / open
+		}
+	}
+	return 0
+}
--- /dev/null
+++ b/core/shed/shed.go
@@ -0,0 +1,197 @@
+// Package shed decides which part of each kind of request a target admits.
+//
+// A kind is a priority and a backer. In each window the target's capacity, in slots, is divided among the kinds by
+// strict priority, and within a priority by weighted max-min over the backers' shares. A kind that gets less than its
+// demand has a level below 64: only requests whose cohort is below it are admitted. The cohort of a request is the
+// same at every hop, so hops that shed at the same time shed the same requests.
+//
+// Demand counts what arrives and what senders withheld. The arrivals may have passed a level at an earlier hop
+// already, so that only low cohorts come. The density, arrivals per cohort, is therefore taken over the range of
+// cohorts that arrive, estimated from their mean, and the level is the allocation over the density.
+//
+// A gain corrects what the model gets wrong: it grows while slots are idle although requests are shed, and shrinks
+// while the queue refuses work.
+//
+// Hysteresis: a level rises by at most one step (1/64) in a window unless the queue is empty, and falls to its target
+// at once, but only if that is at least two steps below. A level is thus at most one step above its target for longer
+// than one window, and reaches it from below within 64 windows. A lower priority has a level above 0 only where the
+// next higher one of the same backer is fully admitted.
+//
+// A Shed is not safe for concurrent use; core/admit holds it under its lock.
+package shed
+
+import (
+	"math"
+	"time"
+
+	"mustardmast"
+	"mustardmast/core/call"
+	"mustardmast/core/share"
+)
+
+const (
+	// Window is the time between two adjustments.
+	Window = 100 * time.Millisecond
+	// memory is the time constant of the demand averages. A target sees a few dozen requests of a kind in it.
+	memory = 300 * time.Millisecond
+	// enough is the number of arrivals in memory above which their mean cohort is used.
+	enough   = 8
+	deadBand = 2
+	gainMin  = 0.25
+	gainMax  = 4
+)
+
+// kind is one priority and backer.
+type kind struct {
+	arrived, withheld float64 // in this window
+	cohorts           float64 // sum over arrived
+	rate, held        float64 // per second, averaged
+	mean              float64 // mean cohort, averaged
+	slotTime          float64 // seconds that one call holds a slot, averaged
+	level             float64
+}
+
+// Shed holds the levels of one target. Use New.
+type Shed struct {
+	share    *share.Share
+	kinds    [call.Priorities][]kind
+	demand   []float64
+	alloc    []float64
+	slotTime float64
+	gain     float64
+}
+
+// New returns a Shed that admits everything. It has one entry per priority and backer.
+func New(s *share.Share) *Shed {
+	d := &Shed{share: s, demand: make([]float64, s.Len()), alloc: make([]float64, s.Len()), gain: 1}
+	for p := range d.kinds {
+		d.kinds[p] = make([]kind, s.Len())
+		for b := range d.kinds[p] {
+			d.kinds[p][b].level = call.Cohorts
+			d.kinds[p][b].mean = (call.Cohorts - 1) / 2.0
+		}
+	}
+	return d
+}
+
+// Level returns the level in force.
+func (d *Shed) Level(p call.Priority, backer int) mustardmast.Level {
+	return mustardmast.Level(d.kinds[min(p, call.Priorities-1)][backer].level)
+}
+
+// Arrived counts one request, and those that its sender withheld since the last one.
+func (d *Shed) Arrived(p call.Priority, backer, cohort int, withheld uint32) {
+	k := &d.kinds[min(p, call.Priorities-1)][backer]
+	k.arrived++
+	k.cohorts += float64(cohort)
+	k.withheld += float64(withheld)
+}
+
+// Ran counts the time that one request held a slot.
+func (d *Shed) Ran(p call.Priority, backer int, held time.Duration) {
+	k := &d.kinds[min(p, call.Priorities-1)][backer]
+	average(&k.slotTime, held.Seconds(), 1.0/64)
+	average(&d.slotTime, held.Seconds(), 1.0/256)
+}
+
+func average(to *float64, v, weight float64) {
+	if *to == 0 {
+		*to = v
+		return
+	}
+	*to += (v - *to) * weight
+}
+
+// State is what the target did in a window.
+type State struct {
+	Elapsed time.Duration
+	Limit   float64 // slots, averaged over the window
+	Busy    float64 // slots in use, averaged over the window
+	Refused float64 // part of the work that reached the queue and was refused there
+	Empty   bool    // the queue was empty at least once
+	Waited  bool    // the queue was never empty and its oldest item waited long
+}
+
+// Advance ends a window and sets the levels.
+func (d *Shed) Advance(s State) {
+	w := 1 - math.Exp(-s.Elapsed.Seconds()/memory.Seconds())
+	rest := s.Limit * d.gain
+	limited := false
+	for p := range d.kinds {
+		for b := range d.kinds[p] {
+			k := &d.kinds[p][b]
+			k.advance(s.Elapsed.Seconds(), w)
+			d.demand[b] = (k.rate + k.held) * d.slotTimeOf(k)
+		}
+		rest = d.share.Split(rest, d.demand, d.alloc)
+		for b := range d.kinds[p] {
+			k := &d.kinds[p][b]
+			target := k.target(d.alloc[b], d.demand[b], d.slotTimeOf(k))
+			limited = limited || target < call.Cohorts
+			k.move(target, s.Empty)
+			if p > 0 && d.kinds[p-1][b].level < call.Cohorts {
+				k.level = 0
+			}
+		}
+	}
+	d.correct(s, limited)
+}
+
+func (d *Shed) slotTimeOf(k *kind) float64 {
+	if k.slotTime > 0 {
+		return k.slotTime
+	}
+	return d.slotTime
+}
+
+func (k *kind) advance(seconds, weight float64) {
+	if seconds <= 0 {
+		return
+	}
+	before := k.rate * (1 - weight)
+	k.rate = before + k.arrived/seconds*weight
+	k.held += (k.withheld/seconds - k.held) * weight
+	if k.arrived > 0 && k.rate > 0 {
+		k.mean += (k.cohorts/k.arrived - k.mean) * (k.rate - before) / k.rate
+	}
+	k.arrived, k.withheld, k.cohorts = 0, 0, 0
+}
+
+// target returns the level at which a kind uses what it was given.
+func (k *kind) target(alloc, demand, slotTime float64) float64 {
+	if alloc >= demand*(1-1e-9) || slotTime <= 0 {
+		return call.Cohorts
+	}
+	density := (k.rate + k.held) / call.Cohorts
+	if k.rate*memory.Seconds() >= enough {
+		density = k.rate / min(2*k.mean+1, call.Cohorts)
+	}
+	if density <= 0 {
+		return call.Cohorts
+	}
+	return min(alloc/slotTime/density, call.Cohorts)
+}
+
+func (k *kind) move(target float64, empty bool) {
+	switch {
+	case target >= k.level && empty:
+		k.level = math.Floor(target)
+	case target >= k.level+1:
+		k.level++
+	case target <= k.level-deadBand || target == 0:
+		k.level = math.Floor(target)
+	}
+}
+
+// correct moves the gain. It returns to 1 when nothing is limited, so that it is not wound up when a surge begins.
+func (d *Shed) correct(s State, limited bool) {
+	switch {
+	case !limited:
+		d.gain += (1 - d.gain) * 0.2
+	case s.Refused > 0.02 || s.Waited:
+		d.gain *= 1 - min(max(s.Refused/2, 0.02), 0.2)
+	case s.Empty && s.Busy < s.Limit*0.97:
+		d.gain *= 1.05
+	}
+	d.gain = min(max(d.gain, gainMin), gainMax)
+}
--- /dev/null
+++ b/internal/measure/deployment.go
@@ -0,0 +1,195 @@
+package measure
+
+import (
+	"math"
+	"time"
+
+	"mustardmast/core/call"
+	"mustardmast/core/config"
+)
+
+// A deployment is one of the two users of the design page: services with their targets, and the chains that callers
+// start. The page gives targets, slots, connections and latencies; service times are this package's own, chosen so
+// that a chain takes a few tenths of a second and a run has some thousand chains a second.
+type deployment struct {
+	name     string
+	domains  int
+	toCaller time.Duration // one way
+	services []service
+	chains   []chain
+	long     string // method that the long jobs of the head-of-line measure call
+	backers  []config.Backer
+}
+
+type service struct {
+	name        string
+	targets     int
+	slots       int
+	connections int
+	own         time.Duration // mean work of the target itself for one call
+	dependsOn   []string
+}
+
+// chain is one kind of request: the services that it passes, each called by the one before.
+type chain struct {
+	path     []string
+	priority call.Priority
+	weight   float64 // part of the arrivals
+	deadline time.Duration
+}
+
+// hop is the one-way latency between nodes.
+const hop = time.Millisecond
+
+func (d deployment) service(name string) service {
+	for _, s := range d.services {
+		if s.name == name {
+			return s
+		}
+	}
+	panic("measure: no service " + name)
+}
+
+func koper() deployment {
+	ms := time.Millisecond
+	assign := []string{"socket-board", "plug-ledger", "reefer-watch"}
+	unplug := []string{"unplug-desk", "socket-board", "plug-ledger"}
+	return deployment{
+		name: "koper", domains: 3, toCaller: 8 * ms,
+		services: []service{
+			{"socket-board", 6, 100, 700, 40 * ms, []string{"plug-ledger"}},
+			{"plug-ledger", 4, 140, 1000, 50 * ms, []string{"reefer-watch"}},
+			{"unplug-desk", 3, 190, 1250, 30 * ms, []string{"socket-board"}},
+			{"reefer-watch", 3, 35, 300, 60 * ms, nil},
+		},
+		chains: []chain{
+			{assign, call.Critical, 0.15, 1500 * ms},
+			{assign, call.High, 0.20, 1500 * ms},
+			{assign, call.Normal, 0.20, 1500 * ms},
+			{assign, call.Low, 0.10, 1500 * ms},
+			{unplug, call.Critical, 0.05, 1500 * ms},
+			{unplug, call.High, 0.10, 1500 * ms},
+			{unplug, call.Normal, 0.10, 1500 * ms},
+			{unplug, call.Low, 0.10, 1500 * ms},
+		},
+		long:    "plug-ledger",
+		backers: []config.Backer{{Name: "luka", SharePercent: 50}, {Name: "adria", SharePercent: 30}, {Name: "drava", SharePercent: 20}},
+	}
+}
+
+func araba() deployment {
+	ms := time.Millisecond
+	reserve := []string{"reservations", "shares"}
+	upload := []string{"gallery", "shares"}
+	browse := []string{"catalogue", "gallery"}
+	return deployment{
+		name: "araba", domains: 4, toCaller: ms,
+		services: []service{
+			{"catalogue", 5, 110, 750, 40 * ms, []string{"gallery"}},
+			{"reservations", 4, 140, 900, 60 * ms, []string{"shares"}},
+			{"gallery", 4, 140, 900, 60 * ms, []string{"shares"}},
+			{"shares", 4, 25, 250, 50 * ms, nil},
+		},
+		chains: []chain{
+			{reserve, call.Critical, 0.15, 2000 * ms},
+			{reserve, call.High, 0.15, 2000 * ms},
+			{reserve, call.Normal, 0.15, 2000 * ms},
+			{upload, call.High, 0.15, 2000 * ms},
+			{upload, call.Normal, 0.15, 2000 * ms},
+			{browse, call.Normal, 0.10, 2000 * ms},
+			{browse, call.Low, 0.15, 2000 * ms},
+		},
+		long:    "gallery",
+		backers: []config.Backer{{Name: "tafila", SharePercent: 40}, {Name: "petra", SharePercent: 40}, {Name: "dana", SharePercent: 20}},
+	}
+}
+
+// hold returns how long one uncrowded call of the i-th service on a path holds its slot.
+func (d deployment) hold(path []string, i int) time.Duration {
+	h := d.service(path[i]).own
+	if i+1 < len(path) {
+		h += 2*hop + d.hold(path, i+1)
+	}
+	return h
+}
+
+// capacity returns the chains a second that can be answered at a given arrival rate when every slot is used for the
+// most important chains: by strict priority, and within a priority all chains grow by the same factor until a service
+// on their path is full.
+func (d deployment) capacity(rate float64) float64 {
+	free := map[string]float64{}
+	for _, s := range d.services {
+		free[s.name] = float64(s.targets * s.slots)
+	}
+	total := 0.0
+	for p := call.Critical; p < call.Priorities; p++ {
+		var open []chain
+		for _, c := range d.chains {
+			if c.priority == p {
+				open = append(open, c)
+			}
+		}
+		total += d.fill(open, rate, free)
+	}
+	return total
+}
+
+// fill grows chains together until each has its demand or meets a full service, and returns their rate.
+func (d deployment) fill(open []chain, rate float64, free map[string]float64) float64 {
+	total, grown := 0.0, 0.0
+	for len(open) > 0 && grown < 1 {
+		need := map[string]float64{}
+		for _, c := range open {
+			for i, s := range c.path {
+				need[s] += rate * c.weight * d.hold(c.path, i).Seconds()
+			}
+		}
+		step := 1 - grown
+		for s, n := range need {
+			step = math.Min(step, free[s]/n)
+		}
+		full := map[string]bool{}
+		for s, n := range need {
+			free[s] -= step * n
+			full[s] = free[s] < 1e-9
+		}
+		grown += step
+		var next []chain
+		for _, c := range open {
+			total += step * rate * c.weight
+			if !meets(c.path, full) {
+				next = append(next, c)
+			}
+		}
+		open = next
+	}
+	return total
+}
+
+func meets(path []string, full map[string]bool) bool {
+	for _, s := range path {
+		if full[s] {
+			return true
+		}
+	}
+	return false
+}
+
+// base returns the arrival rate at which the first service is full.
+func (d deployment) base() float64 {
+	least := math.Inf(1)
+	for _, s := range d.services {
+		need := 0.0
+		for _, c := range d.chains {
+			for i, n := range c.path {
+				if n == s.name {
+					need += c.weight * d.hold(c.path, i).Seconds()
+				}
+			}
+		}
+		if need > 0 {
+			least = math.Min(least, float64(s.targets*s.slots)/need)
+		}
+	}
+	return least
+}
--- /dev/null
+++ b/internal/measure/engine.go
@@ -0,0 +1,76 @@
+package measure
+
+import (
+	"container/heap"
+	"time"
+)
+
+// engine runs events in the order of virtual time; equal times keep the order in which they were scheduled.
+type engine struct {
+	now    time.Duration
+	seq    uint64
+	events events
+}
+
+type event struct {
+	at  time.Duration
+	seq uint64
+	run func()
+}
+
+// epoch is the time at which virtual time starts.
+var epoch = time.Unix(1_700_000_000, 0)
+
+func (e *engine) time() time.Time { return epoch.Add(e.now) }
+
+func (e *engine) after(d time.Duration, f func()) { e.at(e.now+max(d, 0), f) }
+
+func (e *engine) at(t time.Duration, f func()) {
+	e.seq++
+	heap.Push(&e.events, event{at: max(t, e.now), seq: e.seq, run: f})
+}
+
+// until runs all events before end.
+func (e *engine) until(end time.Duration) {
+	for len(e.events) > 0 && e.events[0].at < end {
+		v := heap.Pop(&e.events).(event)
+		e.now = v.at
+		v.run()
+	}
+	e.now = end
+}
+
+// every runs f once a period until end.
+func (e *engine) every(period, end time.Duration, f func()) {
+	e.after(period, func() {
+		f()
+		if e.now+period < end {
+			e.every(period, end, f)
+		}
+	})
+}
+
+type events []event
+
+func (h events) Len() int { return len(h) }
+
+func (h events) Less(i, j int) bool {
+	if h[i].at != h[j].at {
+		return h[i].at < h[j].at
+	}
+	return h[i].seq < h[j].seq
+}
+
+func (h events) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
+
+// Push implements heap.Interface.
+func (h *events) Push(x any) { *h = append(*h, x.(event)) }
+
+// Pop implements heap.Interface.
+func (h *events) Pop() any {
+	old := *h
+	v := old[len(old)-1]
+	old[len(old)-1] = event{}
+	*h = old[:len(old)-1]
+	return v
+}
--- /dev/null
+++ b/internal/measure/measure.go
@@ -0,0 +1,168 @@
+// Package measure compares the core with two baselines under virtual time.
+//
+// It runs the real core/admit, core/level and the packages below them against fake targets, with an event queue in
+// place of clocks and goroutines. The two users of the design page are the inputs. Callers are open-loop and retry
+// hard, latency counts from the intended start of a request, and every variant of a run gets the same arrivals. The
+// same seeds give the same output.
+//
+// The baselines are: no control (round robin, three retries per hop, first in first out), and a fixed concurrency limit
+// with a retry budget per hop. Target selection and retry budget of the core's own variant are small stand-ins behind
+// mustardmast.Picker.
+//
+// Each line has the measure, the deployment, the value of the worst seed, the two baselines (mean over the seeds), the
+// bound from section 2 of the design page and whether it is met. A line without a bound informs only.
+package measure
+
+import (
+	"fmt"
+	"io"
+	"sync"
+
+	"mustardmast/core/call"
+)
+
+// Seeds are the seeds of `make measure`.
+var Seeds = []uint64{1, 2, 3}
+
+// workers bounds the runs at the same time; each is single-threaded and holds up to some hundred MB.
+const workers = 4
+
+// Result is one line.
+type Result struct {
+	Measure    string
+	Deployment string
+	Value      float64
+	Baselines  [2]float64
+	Bound      string
+	OK         bool
+}
+
+// String returns the line as it is printed.
+func (r Result) String() string {
+	state := "ok"
+	if !r.OK {
+		state = "short"
+	}
+	if r.Bound == "" {
+		state, r.Bound = "-", "-"
+	}
+	return fmt.Sprintf("%-34s %-6s %10.4f %10.4f %10.4f   %-10s %s", r.Measure, r.Deployment, r.Value, r.Baselines[0], r.Baselines[1], r.Bound, state)
+}
+
+// Run measures with the given seeds, prints the lines to out and returns them.
+func Run(out io.Writer, seeds []uint64) []Result {
+	scenarios := []scenario{
+		overload(), recovery(), crest(), beside("short alone", 0), beside("short beside long", 100),
+		stragglers("steady", nil), stragglers("stalls", stalls), stragglers("tenfold", tenfold),
+		quiet("quiet alone", true), quiet("quiet beside", false),
+	}
+	fmt.Fprintf(out, "%-34s %-6s %10s %10s %10s   %-10s %s\n", "measure", "user", "value", "no-control", "fixed", "bound", "state")
+	var all []Result
+	for _, d := range []deployment{koper(), araba()} {
+		t := playAll(d, scenarios, seeds)
+		for _, r := range t.lines() {
+			fmt.Fprintln(out, r)
+			all = append(all, r)
+		}
+	}
+	return all
+}
+
+// table holds the figures of all runs of one deployment.
+type table struct {
+	d     deployment
+	seeds int
+	runs  map[string][3][]figures // by scenario, variant, seed
+}
+
+func playAll(d deployment, scenarios []scenario, seeds []uint64) table {
+	t := table{d: d, seeds: len(seeds), runs: map[string][3][]figures{}}
+	var wg sync.WaitGroup
+	free := make(chan struct{}, workers)
+	for _, s := range scenarios {
+		var runs [3][]figures
+		for v := range runs {
+			runs[v] = make([]figures, len(seeds))
+			for i, seed := range seeds {
+				wg.Add(1)
+				free <- struct{}{}
+				go func() {
+					defer wg.Done()
+					runs[v][i] = s.play(d, variant(v), seed)
+					<-free
+				}()
+			}
+		}
+		wg.Wait()
+		t.runs[s.name] = runs
+	}
+	return t
+}
+
+// read returns a figure of one variant for each seed.
+type read func(v variant, seed int) float64
+
+func (t table) figure(scenario, name string) read {
+	return func(v variant, seed int) float64 { return t.runs[scenario][v][seed][name] }
+}
+
+func ratio(a, b read) read {
+	return func(v variant, seed int) float64 { return a(v, seed) / max(b(v, seed), 1e-9) }
+}
+
+// line makes one result. A bound starts with >= or <=; without one the worst value is the lowest.
+func (t table) line(name, bound string, f read) Result {
+	r := Result{Measure: name, Deployment: t.d.name, Bound: bound}
+	var limit float64
+	least := true
+	if bound != "" {
+		least = bound[0] == '>'
+		fmt.Sscanf(bound[2:], "%g", &limit)
+	}
+	for s := range t.seeds {
+		v := f(fullControl, s)
+		if s == 0 || least == (v < r.Value) {
+			r.Value = v
+		}
+		for b := range r.Baselines {
+			r.Baselines[b] += f(variant(b), s) / float64(t.seeds)
+		}
+	}
+	r.OK = least && r.Value >= limit || !least && r.Value <= limit
+	return r
+}
+
+func (t table) lines() []Result {
+	l := []Result{
+		t.line("overload/goodput-of-capacity", ">=0.95", t.figure("overload", "goodput")),
+		t.line("overload/goodput-over-no-control", ">=3", func(v variant, s int) float64 {
+			return t.figure("overload", "goodput")(v, s) / max(t.figure("overload", "goodput")(noControl, s), 1e-3)
+		}),
+	}
+	for p := call.Critical; p < call.Priorities; p++ {
+		l = append(l, t.line("overload/success-"+p.String(), "", ratio(t.figure("overload", "goodput "+p.String()), t.figure("overload", "asked "+p.String()))))
+	}
+	for _, b := range t.d.backers {
+		l = append(l, t.line("overload/goodput-per-s-"+b.Name, "", t.figure("overload", "goodput "+b.Name)))
+	}
+	l = append(l,
+		t.line("overload/inversions", "<=0.001", t.figure("overload", "inversions")),
+		t.line("recovery/seconds", "<=5", t.figure("recovery", "recovery")))
+	for p := call.Critical; p < call.Priorities; p++ {
+		bound := ""
+		if p == call.Critical {
+			bound = ">=0.999"
+		}
+		l = append(l, t.line("crest/success-"+p.String(), bound, t.figure("crest", "crest "+p.String())))
+		l = append(l, t.line("crest/p99-seconds-"+p.String(), "", t.figure("crest", "crest p99 "+p.String())))
+	}
+	return append(l,
+		t.line("quiet-backer/share-kept", ">=0.99", ratio(t.figure("quiet beside", "success"), t.figure("quiet alone", "success"))),
+		t.line("head-of-line/p99-ratio", "<=1.3", ratio(t.figure("short beside long", "p99"), t.figure("short alone", "p99"))),
+		t.line("stragglers/stall-p99-ratio", "<=1.5", ratio(t.figure("stalls", "p99"), t.figure("steady", "p99"))),
+		t.line("stragglers/stall-p99.9-ratio", "", ratio(t.figure("stalls", "p99.9"), t.figure("steady", "p99.9"))),
+		t.line("stragglers/slow-p99-ratio", "<=1.5", ratio(t.figure("tenfold", "p99"), t.figure("steady", "p99"))),
+		t.line("stragglers/slow-p99.9-ratio", "", ratio(t.figure("tenfold", "p99.9"), t.figure("steady", "p99.9"))),
+		t.line("stragglers/hedges-extra", "<=0.03", t.figure("stalls", "hedges")),
+	)
+}
