--- a/core/admit/admit.go
+++ b/core/admit/admit.go
@@ -33,6 +33,11 @@
 	minQueue = 16
 	// longPart is the part of the limit that long jobs may hold.
 	longPart = 0.25
+	// minRelative keeps the costs of methods that take almost nothing above zero.
+	minRelative = 0.1
+	// marginPercent is the margin of calls from other hops. Levels of targets that serve a hundred calls a second of one
+	// kind differ by a tenth or two.
+	marginPercent = 25
 	// shedRetryAfter is what a shed caller is told to wait: the time in which levels change noticeably.
 	shedRetryAfter = time.Second
 )
@@ -135,7 +140,7 @@
 	}
 	b, p, cohort := a.share.Index(w.Call.Backer()), w.Call.Priority(), w.Call.Cohort()
 	a.shed.Arrived(p, b, cohort, w.Withheld)
-	if cohort >= int(a.shed.Level(p, b)) {
+	if cohort >= admitted(a.shed.Level(p, b), w.Call.Depth()) {
 		return refuse(w.Ticket, fault.Shed, shedRetryAfter)
 	}
 	long := a.cost.Long(w.Call.Method(), w.Long)
@@ -150,6 +155,16 @@
 	return a.enqueue(now, w)
 }
 
+// admitted returns the level that a call is judged by. Work has been done already for a call that comes from another
+// hop, and targets of one service differ in their levels by chance, so such a call gets a margin; the queue refuses what
+// is too much.
+func admitted(l mustardmast.Level, depth int) int {
+	if depth <= 1 {
+		return int(l)
+	}
+	return int(l) + int(l)*marginPercent/100
+}
+
 func (a *Admitter) longSlots() int { return max(int(float64(a.limit.Value())*longPart), 1) }
 
 func (a *Admitter) known(ticket uint64) bool {
@@ -200,10 +215,8 @@
 		Backer:   a.share.Index(w.Call.Backer()),
 		Deadline: w.Deadline,
 		Long:     a.cost.Long(w.Call.Method(), w.Long),
-		Expected: a.cost.Base(w.Call.Method()) / 4, // most calls take longer than a quarter of the mean
-	}
-	if short := a.cost.Short(); short > 0 {
-		it.Cost = max(a.cost.Mean(w.Call.Method()).Seconds()/short.Seconds(), 0.1)
+		Expected: a.cost.Mean(w.Call.Method()) / 4, // most calls take longer than a quarter of the mean
+		Cost:     max(a.cost.Relative(w.Call.Method()), minRelative),
 	}
 	if it.Long {
 		it.Wait = longWait
@@ -234,7 +247,12 @@
 
 func (a *Admitter) learn(now time.Time, r running, c mustardmast.Completion) {
 	own := max(c.Latency-c.Below, 0)
-	s := limit.Sample{Latency: own, Base: a.cost.Base(r.method), Long: r.long, Refused: c.Kind == fault.TargetRefused}
+	s := limit.Sample{
+		Latency: time.Duration(float64(own) / max(a.cost.Relative(r.method), minRelative)),
+		Running: len(a.running) + 1,
+		Long:    r.long,
+		Refused: c.Kind == fault.TargetRefused,
+	}
 	switch c.Kind {
 	case fault.None, fault.AnswerCut:
 		s.Done = true
--- a/core/cost/cost.go
+++ b/core/cost/cost.go
@@ -1,9 +1,7 @@
-// Package cost tells short methods from long ones and knows how long a method takes when its target is not crowded.
+// Package cost tells short methods from long ones and knows what a method takes in relation to the others.
 //
-// A method is long when the configuration declares it, or when its mean latency is many times that of the other
-// methods. Each method has a running mean and a base: the lowest mean seen, which drifts upwards slowly so that a
-// method that became slower for good gets a new base. The ratio of mean to base is what core/limit judges crowding by;
-// a base per method keeps a change in the mix of methods from looking like crowding.
+// A method is long when the configuration declares it, or when its mean latency is many times that of the short ones.
+// A method that was learned to be long becomes short again when its mean falls.
 //
 // A Cost is not safe for concurrent use; core/admit holds it under its lock.
 package cost
@@ -17,11 +15,8 @@
 	longFactor = 10
 	// minSamples is the number of completions before a mean is used.
 	minSamples = 16
-	// meanWeight averages over about 128 completions. With 32, chance alone moved the base of exponentially distributed
-	// latencies a third below their mean.
+	// meanWeight averages over about 128 completions, which leaves a tenth to chance.
 	meanWeight = 1.0 / 128
-	// driftPerSample lets the base double in about 7,000 completions.
-	driftPerSample = 1.0001
 )
 
 // Cost learns the latencies of the methods of one service. Use New.
@@ -32,9 +27,9 @@
 }
 
 type method struct {
-	mean, base float64 // seconds
-	n          int
-	long       bool
+	mean float64 // seconds
+	n    int
+	long bool
 }
 
 // New returns a Cost that has learned nothing.
@@ -57,57 +52,50 @@
 			c.methods[name] = m
 		}
 	}
-	m.observe(latency.Seconds())
+	s := latency.Seconds()
+	m.observe(s)
 	if m != &c.other && c.short.n >= minSamples && m.n >= minSamples {
 		m.long = m.mean > c.short.mean*longFactor || m.long && m.mean > c.short.mean*longFactor/2
 	}
-	if !declared && !m.long {
-		c.short.observe(min(latency.Seconds(), c.typical()))
+	if declared || m.long {
+		return
 	}
-}
-
-// typical bounds what one completion adds to the mean of the short ones, so that the first calls of a long method do
-// not raise it above their own class.
-func (c *Cost) typical() float64 {
-	if c.short.n < minSamples {
-		return 1e9
+	if c.short.n >= minSamples {
+		// The first calls of a long method must not raise the mean that it is compared with.
+		s = min(s, c.short.mean*longFactor)
 	}
-	return c.short.mean * longFactor
+	c.short.observe(s)
 }
 
 func (m *method) observe(s float64) {
 	m.n++
 	m.mean += (s - m.mean) * max(meanWeight, 1/float64(m.n))
-	if m.n < minSamples {
-		return
-	}
-	if m.base == 0 || m.mean < m.base {
-		m.base = m.mean
-	}
-	m.base *= driftPerSample
 }
 
+func (m *method) known() bool { return m.n >= minSamples && m.mean > 0 }
+
 // Long reports the cost class of a method.
 func (c *Cost) Long(name string, declared bool) bool { return declared || c.find(name).long }
 
-// Base returns the mean latency of a method when its target is not crowded, 0 when it is not known yet.
-func (c *Cost) Base(name string) time.Duration { return seconds(c.find(name).base) }
-
-// Mean returns the mean latency of a method, 0 when it is not known yet.
-func (c *Cost) Mean(name string) time.Duration {
+// Relative returns what a method takes in relation to the mean short call, 1 when it is not known yet. Crowding slows
+// all methods alike and leaves this figure as it is.
+func (c *Cost) Relative(name string) float64 {
 	m := c.find(name)
-	if m.n < minSamples {
-		return 0
+	if !m.known() || !c.short.known() {
+		return 1
 	}
-	return seconds(m.mean)
+	return m.mean / c.short.mean
 }
 
+// Mean returns the mean latency of a method, 0 when it is not known yet.
+func (c *Cost) Mean(name string) time.Duration { return c.find(name).duration() }
+
 // Short returns the mean latency of short calls, 0 when it is not known yet.
-func (c *Cost) Short() time.Duration {
-	if c.short.n < minSamples {
+func (c *Cost) Short() time.Duration { return c.short.duration() }
+
+func (m *method) duration() time.Duration {
+	if !m.known() {
 		return 0
 	}
-	return seconds(c.short.mean)
+	return time.Duration(m.mean * float64(time.Second))
 }
-
-func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
--- /dev/null
+++ b/core/level/below.go
@@ -0,0 +1,80 @@
+package level
+
+import (
+	"sync"
+	"time"
+
+	"mustardmast"
+	"mustardmast/core/call"
+)
+
+const (
+	// MaxMethods bounds the methods that a Below knows, and MaxChildren the sub-calls of each. Beyond the bounds nothing
+	// is learned, and calls are judged at the later hop only.
+	MaxMethods  = 256
+	MaxChildren = 16
+	// usualPart is the part of a method's calls that must make a sub-call for its level to count. A method that makes
+	// it rarely would otherwise be shed for the sake of few of its calls.
+	usualPart = 0.5
+	// memoryWeight averages over about 64 calls of a method.
+	memoryWeight = 1.0 / 64
+)
+
+// Below knows which sub-calls the methods of the target on this host make. It is safe for concurrent use. Use NewBelow.
+type Below struct {
+	mu      sync.Mutex
+	methods map[string]map[child]float64 // part of the calls that make the sub-call
+}
+
+type child struct{ service, method string }
+
+// NewBelow returns a Below that knows nothing.
+func NewBelow() *Below { return &Below{methods: make(map[string]map[child]float64)} }
+
+// Saw counts a sub-call that a running call of method makes. It is called once per sub-call.
+func (b *Below) Saw(method string, sub call.Call) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	m := b.methods[method]
+	if m == nil {
+		if len(b.methods) >= MaxMethods {
+			return
+		}
+		m = make(map[child]float64)
+		b.methods[method] = m
+	}
+	k := child{sub.Service(), sub.Method()}
+	if part, ok := m[k]; ok {
+		m[k] = min(part+memoryWeight, 1)
+	} else if len(m) < MaxChildren {
+		m[k] = 1
+	}
+}
+
+// Ran counts a call of method that ended with success, so that all its sub-calls were made. It is called after Saw for
+// these.
+func (b *Below) Ran(method string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for k, part := range b.methods[method] {
+		if part -= part * memoryWeight; part < 0.01 {
+			delete(b.methods[method], k)
+			continue
+		}
+		b.methods[method][k] = part
+	}
+}
+
+// Min returns the lowest level that t knows for the sub-calls that method usually makes. A node answers with the lower
+// of this and its own level.
+func (b *Below) Min(now time.Time, t *Table, method string, p call.Priority, backer string) mustardmast.Level {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	l := mustardmast.FullLevel
+	for k, part := range b.methods[method] {
+		if part >= usualPart {
+			l = min(l, t.Level(now, k.service, k.method, p, backer))
+		}
+	}
+	return l
+}
--- a/core/level/level.go
+++ b/core/level/level.go
@@ -1,7 +1,9 @@
 // Package level remembers, at the sender, which part of each kind of request a service admits.
 //
-// Answers carry the level of the service that gave them, already reduced to the lowest level of what it depends on. A
-// sender that has learned a level refuses a call that the chain would shed anyway, before any work is done. Targets of
+// A kind is a service, a method, a priority and a backer. Answers carry the level of the target that gave them, already
+// reduced to the lowest level of the sub-calls that the method makes; Below knows which these are. The method is part
+// of the kind because methods of one service differ in what they call: without it, a service that is short of capacity
+// would also stop the requests that never reach it. A sender that has learned a level refuses a call that the chain would shed anyway, before any work is done. Targets of
 // one service differ a little; the table keeps a running average over their answers.
 //
 // A refused call never reaches the service, which would therefore not know the demand. The table counts the calls
@@ -28,11 +30,13 @@
 	Expiry = 2 * time.Second
 	// probeEvery is the time after which one call is forwarded although its cohort is above the level.
 	probeEvery = 200 * time.Millisecond
-	// DefaultSize bounds the table: about 100 services with 4 priorities and 10 backers.
+	// DefaultSize bounds the table: about 100 methods with 4 priorities and 10 backers.
 	DefaultSize = 4096
 	shards      = 16
 	// weight averages over the last answers of several targets.
-	weight = 0.25
+	weight = 0.1
+	// marginPercent is the margin for calls below the first hop, for which work has been done already.
+	marginPercent = 25
 )
 
 // Spec has the parts of a Table by name.
@@ -55,6 +59,7 @@
 
 type key struct {
 	service  string
+	method   string
 	priority call.Priority
 	backer   int
 }
@@ -82,10 +87,10 @@
 	return &t.shards[xxhash.Sum64String(service)%shards]
 }
 
-// Learn takes the level that an answer of a service carried.
-func (t *Table) Learn(now time.Time, service string, p call.Priority, backer string, l mustardmast.Level) {
-	k := key{service, p, t.share.Index(backer)}
-	s := t.shard(service)
+// Learn takes the level that the answer to c carried.
+func (t *Table) Learn(now time.Time, c call.Call, l mustardmast.Level) {
+	k := t.key(c)
+	s := t.shard(c.Service())
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	e := s.entries[k]
@@ -129,39 +134,37 @@
 	return mustardmast.Level(e.level + 0.5)
 }
 
-// Level returns what is known of a service, FullLevel if nothing is.
-func (t *Table) Level(now time.Time, service string, p call.Priority, backer string) mustardmast.Level {
+func (t *Table) key(c call.Call) key {
+	return key{c.Service(), c.Method(), c.Priority(), t.share.Index(c.Backer())}
+}
+
+// Level returns what is known of a method, FullLevel if nothing is.
+func (t *Table) Level(now time.Time, service, method string, p call.Priority, backer string) mustardmast.Level {
 	s := t.shard(service)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if e := s.entries[key{service, p, t.share.Index(backer)}]; e != nil {
+	if e := s.entries[key{service, method, p, t.share.Index(backer)}]; e != nil {
 		return e.value(now)
 	}
 	return mustardmast.FullLevel
 }
 
-// Min returns the lowest level of several services. A node answers with the lower of this, over what its service
-// depends on, and its own level.
-func (t *Table) Min(now time.Time, services []string, p call.Priority, backer string) mustardmast.Level {
-	l := mustardmast.FullLevel
-	for _, s := range services {
-		l = min(l, t.Level(now, s, p, backer))
-	}
-	return l
-}
-
-// Admit reports whether a call may be forwarded to a service. Carried is the number of withheld calls that came with
+// Admit reports whether a call may be forwarded to its service. Carried is the number of withheld calls that came with
 // the call that this one belongs to, 0 at the entry. For a forwarded call it returns the number to send with it; for
 // a refused one the number is kept for the next.
-func (t *Table) Admit(now time.Time, service string, c call.Call, carried uint32) (withheld uint32, ok bool) {
-	s := t.shard(service)
+func (t *Table) Admit(now time.Time, c call.Call, carried uint32) (withheld uint32, ok bool) {
+	s := t.shard(c.Service())
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	e := s.entries[key{service, c.Priority(), t.share.Index(c.Backer())}]
+	e := s.entries[t.key(c)]
 	if e == nil {
 		return carried, true
 	}
-	if c.Cohort() < int(e.value(now)) || now.Sub(e.forwarded) >= probeEvery {
+	l := int(e.value(now))
+	if c.Depth() > 1 {
+		l += l * marginPercent / 100
+	}
+	if c.Cohort() < l || now.Sub(e.forwarded) >= probeEvery {
 		withheld = add(e.withheld, carried)
 		e.withheld, e.forwarded = 0, now
 		return withheld, true
--- a/core/limit/limit.go
+++ b/core/limit/limit.go
@@ -2,9 +2,14 @@
 //
 // The slots that a target states are an upper bound only: the target may share its host with others, or state more
 // than it has. Once more calls run than the target can serve, they wait inside it, where nothing orders them, and their
-// latency grows with their number. The limit therefore follows crowding, the ratio of the latency seen to the latency
-// of the same methods when the target is not crowded: above one bound it shrinks in proportion, below another it grows
-// while it is in use. Refusals by the target itself shrink it too.
+// latency grows with their number. The limit follows from latency per concurrency: a small table holds the mean
+// latency seen at each level of concurrency, and its lowest entry is what a call takes when the target is not crowded.
+// Where the present latency is well above that, the limit shrinks by a step; where it is close, the limit grows while it
+// is in use.
+//
+// Latency also rises for reasons that a limit cannot change, for example when the work itself becomes harder. The limit
+// then shrinks by a few steps, finds the same latency at the lower concurrency, and grows again, because entries of the
+// table are replaced as they are visited and expire otherwise.
 //
 // A target that completes nothing for many times its usual latency is stalled; its limit is then 1 until it completes
 // a call again.
@@ -12,36 +17,53 @@
 // A Limit is not safe for concurrent use; core/admit holds it under its lock.
 package limit
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 const (
 	window = 100 * time.Millisecond
-	// minSamples keeps chance out of a window's mean; a window is extended until it has as many completions.
-	minSamples = 32
-	// Crowding above shrinkAbove shrinks the limit and below growBelow lets it grow. The mean of a few hundred
-	// exponentially distributed latencies is up to 1.3 times their lowest mean by chance alone.
-	shrinkAbove = 1.5
-	growBelow   = 1.35
-	// maxShrink bounds one step, because a window can be hit by one short stall.
-	maxShrink = 0.7
-	growPart  = 0.05
+	// minSamples keeps chance out of a window's mean: at 100 exponentially distributed latencies it is off by a tenth.
+	minSamples = 100
+	// Crowding above shrinkAbove shrinks the limit and below growBelow lets it grow.
+	shrinkAbove = 1.25
+	growBelow   = 1.15
+	// step is the factor between two entries of the table and the bound on one change downwards.
+	step     = 0.8
+	growPart = 0.05
 	// refusedPart is the part of refusals by the target that shrinks the limit.
 	refusedPart = 0.05
 	// A target is stalled after stallFactor times the usual latency of short calls, and not before stallMin.
 	stallFactor = 6
 	stallMin    = 100 * time.Millisecond
+	// rows of the table reach down to slots x 0.8^15, which is a thirtieth.
+	rows = 16
+	// expiry is the age at which a row of the table no longer counts.
+	expiry = 20 * time.Second
+	// rowSamples is the number of completions that a row averages over.
+	rowSamples = 400
 )
 
+// row is the mean latency at one level of concurrency.
+type row struct {
+	latency float64
+	samples float64
+	at      time.Time
+}
+
 // Limit is a concurrency limit in [1, slots]. Use New.
 type Limit struct {
 	slots int
 	value float64
-	since time.Time
-	count int
-	bad   int
-	peak  int
-	seen  float64 // seconds, sum over the window
-	base  float64
+	table [rows]row
+
+	since   time.Time // start of the window
+	count   int
+	bad     int
+	peak    int
+	latency float64 // sum over the window, seconds
+	inUse   float64 // sum over the window of the calls running at each completion
 
 	running int // short calls
 	quiet   time.Time
@@ -71,6 +93,9 @@
 	if l.value >= float64(l.slots) || l.value > float64(n) {
 		l.value = float64(n)
 	}
+	if n != l.slots {
+		l.table = [rows]row{}
+	}
 	l.slots = n
 }
 
@@ -88,9 +113,11 @@
 
 // Sample is one call that ended.
 type Sample struct {
-	Latency time.Duration // in the target itself, without the calls that it made
-	Base    time.Duration // what the method takes when the target is not crowded, 0 if unknown
-	Long    bool
+	// Latency is the time in the target itself, without the calls that it made, divided by what its method takes in
+	// relation to the other methods. A change in the mix of methods then does not look like crowding.
+	Latency time.Duration
+	Running int  // calls that ran when it ended, itself included
+	Long    bool // long jobs are not judged
 	Done    bool // the target answered, with success or not
 	Refused bool // the target refused for lack of capacity
 }
@@ -105,18 +132,14 @@
 		l.count++
 		return
 	}
-	if !s.Done {
+	if !s.Done || s.Long {
 		return
 	}
-	if !s.Long {
-		l.quiet = now
-		l.stalled = false
-	}
-	if s.Base > 0 && !s.Long {
-		l.count++
-		l.seen += s.Latency.Seconds()
-		l.base += s.Base.Seconds()
-	}
+	l.quiet = now
+	l.stalled = false
+	l.count++
+	l.latency += s.Latency.Seconds()
+	l.inUse += float64(s.Running)
 }
 
 // Tick advances the window. The argument short is the usual latency of short calls, 0 if unknown.
@@ -128,23 +151,50 @@
 	if now.Sub(l.since) < window || l.count < minSamples {
 		return
 	}
-	l.adjust()
-	l.since, l.count, l.bad, l.peak, l.seen, l.base = now, 0, 0, 0, 0, 0
+	l.adjust(now)
+	l.since, l.count, l.bad, l.peak, l.latency, l.inUse = now, 0, 0, 0, 0, 0
 }
 
-func (l *Limit) adjust() {
+func (l *Limit) adjust(now time.Time) {
+	if float64(l.bad) > float64(l.count)*refusedPart {
+		l.set(l.value * step)
+		return
+	}
+	n := float64(l.count - l.bad)
+	latency, inUse := l.latency/n, l.inUse/n
+	l.learn(now, latency, inUse, n)
 	crowding := 1.0
-	if l.base > 0 {
-		crowding = l.seen / l.base
+	if base := l.base(now); base > 0 {
+		crowding = latency / base
 	}
 	switch {
-	case float64(l.bad) > float64(l.count)*refusedPart:
-		l.value *= maxShrink
-	case crowding > shrinkAbove:
-		// Waiting grows with the number running, so only the part in use can be reduced.
-		l.value = min(l.value, float64(l.peak)+1) * max(maxShrink, shrinkAbove/crowding)
+	case crowding > shrinkAbove && inUse > l.value/2:
+		l.set(min(l.value, float64(l.peak)) * max(step, 1/crowding))
 	case crowding < growBelow && float64(l.peak) >= l.value*0.9-1:
-		l.value += max(1, l.value*growPart)
+		l.set(l.value + max(1, l.value*growPart))
+	}
+}
+
+func (l *Limit) set(v float64) { l.value = min(max(v, 1), float64(l.slots)) }
+
+func (l *Limit) learn(now time.Time, latency, inUse, n float64) {
+	i := int(math.Log(max(inUse, 1)/float64(l.slots)) / math.Log(step))
+	r := &l.table[min(max(i, 0), rows-1)]
+	if now.Sub(r.at) > expiry {
+		*r = row{}
+	}
+	r.at = now
+	r.samples = min(r.samples+n, rowSamples)
+	r.latency += (latency - r.latency) * min(n/r.samples, 1)
+}
+
+// base returns the lowest latency of the rows with enough samples, 0 when there is none.
+func (l *Limit) base(now time.Time) float64 {
+	base := 0.0
+	for _, r := range l.table {
+		if r.samples >= rowSamples/2 && now.Sub(r.at) <= expiry && (base == 0 || r.latency < base) {
+			base = r.latency
+		}
 	}
-	l.value = min(max(l.value, 1), float64(l.slots))
+	return base
 }
--- a/core/shed/shed.go
+++ b/core/shed/shed.go
@@ -9,12 +9,16 @@
 // already, so that only low cohorts come. The density, arrivals per cohort, is therefore taken over the range of
 // cohorts that arrive, estimated from their mean, and the level is the allocation over the density.
 //
+// What senders withheld counts as demand only where the level of this target is what they withheld it for. Where far
+// fewer cohorts arrive than this target admits, another service on the way is the narrower one, and capacity kept for
+// what it holds back would stay idle.
+//
 // A gain corrects what the model gets wrong: it grows while slots are idle although requests are shed, and shrinks
-// while the queue refuses work.
+// while the queue refuses work. It moves slowly, because a level takes most of a second to show in the arrivals.
 //
-// Hysteresis: a level rises by at most one step (1/64) in a window unless the queue is empty, and falls to its target
-// at once, but only if that is at least two steps below. A level is thus at most one step above its target for longer
-// than one window, and reaches it from below within 64 windows. A lower priority has a level above 0 only where the
+// Hysteresis: a level rises by at most one step (1/64) in a window, or four if the queue was empty in it, and falls to
+// its target at once, but only if that is at least two steps below. A level is thus less than two steps above its
+// target after a window, and reaches a target above it within 64 windows, or 16 if the queue stays empty. A lower priority has a level above 0 only where the
 // next higher one of the same backer is fully admitted.
 //
 // A Shed is not safe for concurrent use; core/admit holds it under its lock.
@@ -33,12 +37,17 @@
 	// Window is the time between two adjustments.
 	Window = 100 * time.Millisecond
 	// memory is the time constant of the demand averages. A target sees a few dozen requests of a kind in it.
-	memory = 300 * time.Millisecond
+	memory = 600 * time.Millisecond
 	// enough is the number of arrivals in memory above which their mean cohort is used.
 	enough   = 8
 	deadBand = 2
-	gainMin  = 0.25
-	gainMax  = 4
+	// quickRise is the bound on one step up while the queue is empty. A jump to the target overshot, because the arrivals
+	// follow a level with half a second of delay.
+	quickRise = 4
+	gainMin  = 0.8
+	gainMax  = 1.5
+	// ownPart is how near the range of arriving cohorts must be to a level for the level to be what limits them.
+	ownPart = 0.75
 )
 
 // kind is one priority and backer.
@@ -121,14 +130,18 @@
 		for b := range d.kinds[p] {
 			k := &d.kinds[p][b]
 			k.advance(s.Elapsed.Seconds(), w)
-			d.demand[b] = (k.rate + k.held) * d.slotTimeOf(k)
+			d.demand[b] = k.demand() * d.slotTimeOf(k)
 		}
 		rest = d.share.Split(rest, d.demand, d.alloc)
 		for b := range d.kinds[p] {
 			k := &d.kinds[p][b]
 			target := k.target(d.alloc[b], d.demand[b], d.slotTimeOf(k))
 			limited = limited || target < call.Cohorts
-			k.move(target, s.Empty)
+			rise := 1.0
+			if s.Empty && k.own() {
+				rise = quickRise
+			}
+			k.move(target, rise)
 			if p > 0 && d.kinds[p-1][b].level < call.Cohorts {
 				k.level = 0
 			}
@@ -157,14 +170,36 @@
 	k.arrived, k.withheld, k.cohorts = 0, 0, 0
 }
 
+// span returns the range of cohorts that arrive, and false when there are too few arrivals to tell.
+func (k *kind) span() (float64, bool) {
+	return min(2*k.mean+1, call.Cohorts), k.rate*memory.Seconds() >= enough
+}
+
+// demand returns the requests a second that would come if this target admitted everything.
+func (k *kind) demand() float64 {
+	if !k.own() {
+		return k.rate
+	}
+	return k.rate + k.held
+}
+
+// own reports whether the level of this target is what limits the arrivals.
+func (k *kind) own() bool {
+	if k.level >= call.Cohorts {
+		return false
+	}
+	span, ok := k.span()
+	return !ok || span >= k.level*ownPart
+}
+
 // target returns the level at which a kind uses what it was given.
 func (k *kind) target(alloc, demand, slotTime float64) float64 {
 	if alloc >= demand*(1-1e-9) || slotTime <= 0 {
 		return call.Cohorts
 	}
 	density := (k.rate + k.held) / call.Cohorts
-	if k.rate*memory.Seconds() >= enough {
-		density = k.rate / min(2*k.mean+1, call.Cohorts)
+	if span, ok := k.span(); ok {
+		density = k.rate / span
 	}
 	if density <= 0 {
 		return call.Cohorts
@@ -172,13 +207,12 @@
 	return min(alloc/slotTime/density, call.Cohorts)
 }
 
-func (k *kind) move(target float64, empty bool) {
+// move changes the level towards its target.
+func (k *kind) move(target, rise float64) {
 	switch {
-	case target >= k.level && empty:
-		k.level = math.Floor(target)
 	case target >= k.level+1:
-		k.level++
-	case target <= k.level-deadBand || target == 0:
+		k.level = math.Floor(min(target, k.level+rise))
+	case target <= k.level-deadBand || target < 1:
 		k.level = math.Floor(target)
 	}
 }
@@ -189,9 +223,9 @@
 	case !limited:
 		d.gain += (1 - d.gain) * 0.2
 	case s.Refused > 0.02 || s.Waited:
-		d.gain *= 1 - min(max(s.Refused/2, 0.02), 0.2)
-	case s.Empty && s.Busy < s.Limit*0.97:
-		d.gain *= 1.05
+		d.gain *= 1 - min(max(s.Refused/4, 0.005), 0.05)
+	case s.Empty && s.Busy < s.Limit*0.98:
+		d.gain *= 1.01
 	}
 	d.gain = min(max(d.gain, gainMin), gainMax)
 }
