--- a/core/admit/admit.go
+++ b/core/admit/admit.go
@@ -249,6 +249,7 @@
 	own := max(c.Latency-c.Below, 0)
 	s := limit.Sample{
 		Latency: time.Duration(float64(own) / max(a.cost.Relative(r.method), minRelative)),
+		Held:    c.Latency,
 		Running: len(a.running) + 1,
 		Long:    r.long,
 		Refused: c.Kind == fault.TargetRefused,
@@ -320,7 +321,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	vs := a.expire(now, a.queue.TakeExpired(now), a.settle())
-	a.limit.Tick(now, a.cost.Short())
+	a.limit.Tick(now)
 	a.advance(now)
 	return a.serve(now, vs)
 }
--- a/core/admit/window.go
+++ b/core/admit/window.go
@@ -15,7 +15,7 @@
 	started int
 	refused int
 	empty   bool
-	waited  bool
+	stalled bool
 }
 
 func (w *window) see(queued int) {
@@ -43,6 +43,9 @@
 func (a *Admitter) advance(now time.Time) {
 	a.account(now)
 	a.window.see(a.queue.Len())
+	if a.limit.Stalled() {
+		a.window.stalled = true
+	}
 	w := a.window
 	elapsed := now.Sub(w.since)
 	if elapsed < shed.Window {
@@ -58,6 +61,12 @@
 	if n := w.started + w.refused; n > 0 {
 		s.Refused = float64(w.refused) / float64(n)
 	}
-	a.shed.Advance(s)
+	if w.stalled {
+		// The levels stay: other targets of the service can take what this one refuses, and senders would apply a level
+		// to all of them.
+		a.shed.Skip()
+	} else {
+		a.shed.Advance(s)
+	}
 	a.window = window{since: now, at: now}
 }
--- a/core/level/level.go
+++ b/core/level/level.go
@@ -33,8 +33,9 @@
 	// DefaultSize bounds the table: about 100 methods with 4 priorities and 10 backers.
 	DefaultSize = 4096
 	shards      = 16
-	// weight averages over the last answers of several targets.
-	weight = 0.1
+	// Each answer moves the level by weight of the difference, and by maxStep at most.
+	weight  = 0.1
+	maxStep = 2
 	// marginPercent is the margin for calls below the first hop, for which work has been done already.
 	marginPercent = 25
 )
@@ -106,9 +107,9 @@
 	}
 	v := float64(min(l, mustardmast.FullLevel))
 	if !e.fresh(now) {
-		e.level = v
+		e.level = call.Cohorts
 	}
-	e.level += (v - e.level) * weight
+	e.level += min(max((v-e.level)*weight, -maxStep), maxStep)
 	e.learned = now
 }
 
--- a/core/limit/limit.go
+++ b/core/limit/limit.go
@@ -11,8 +11,8 @@
 // then shrinks by a few steps, finds the same latency at the lower concurrency, and grows again, because entries of the
 // table are replaced as they are visited and expire otherwise.
 //
-// A target that completes nothing for many times its usual latency is stalled; its limit is then 1 until it completes
-// a call again.
+// A target that completes nothing for many times the usual time between two completions is stalled; its limit is then
+// 1 until it completes a call again.
 //
 // A Limit is not safe for concurrent use; core/admit holds it under its lock.
 package limit
@@ -34,9 +34,11 @@
 	growPart = 0.05
 	// refusedPart is the part of refusals by the target that shrinks the limit.
 	refusedPart = 0.05
-	// A target is stalled after stallFactor times the usual latency of short calls, and not before stallMin.
-	stallFactor = 6
+	// A target is stalled after stallFactor times the usual time between two completions, and not before stallMin. By
+	// chance alone, a gap of 8 times the mean comes once in 3,000 completions.
+	stallFactor = 8
 	stallMin    = 100 * time.Millisecond
+	heldWeight  = 1.0 / 64
 	// rows of the table reach down to slots x 0.8^15, which is a thirtieth.
 	rows = 16
 	// expiry is the age at which a row of the table no longer counts.
@@ -65,7 +67,8 @@
 	latency float64 // sum over the window, seconds
 	inUse   float64 // sum over the window of the calls running at each completion
 
-	running int // short calls
+	running int     // short calls
+	held    float64 // mean time that a short call holds its slot, seconds
 	quiet   time.Time
 	stalled bool
 }
@@ -116,10 +119,11 @@
 	// Latency is the time in the target itself, without the calls that it made, divided by what its method takes in
 	// relation to the other methods. A change in the mix of methods then does not look like crowding.
 	Latency time.Duration
-	Running int  // calls that ran when it ended, itself included
-	Long    bool // long jobs are not judged
-	Done    bool // the target answered, with success or not
-	Refused bool // the target refused for lack of capacity
+	Held    time.Duration // time that the call held its slot
+	Running int           // calls that ran when it ended, itself included
+	Long    bool          // long jobs are not judged
+	Done    bool          // the target answered, with success or not
+	Refused bool          // the target refused for lack of capacity
 }
 
 // End counts a call that ended.
@@ -137,14 +141,18 @@
 	}
 	l.quiet = now
 	l.stalled = false
+	if l.held == 0 {
+		l.held = s.Held.Seconds()
+	}
+	l.held += (s.Held.Seconds() - l.held) * heldWeight
 	l.count++
 	l.latency += s.Latency.Seconds()
 	l.inUse += float64(s.Running)
 }
 
-// Tick advances the window. The argument short is the usual latency of short calls, 0 if unknown.
-func (l *Limit) Tick(now time.Time, short time.Duration) {
-	l.stalled = l.running > 0 && short > 0 && now.Sub(l.quiet) > max(stallMin, stallFactor*short)
+// Tick advances the window.
+func (l *Limit) Tick(now time.Time) {
+	l.stalled = l.silent(now)
 	if l.since.IsZero() {
 		l.since = now
 	}
@@ -155,6 +163,14 @@
 	l.since, l.count, l.bad, l.peak, l.latency, l.inUse = now, 0, 0, 0, 0, 0
 }
 
+func (l *Limit) silent(now time.Time) bool {
+	if l.running == 0 || l.held == 0 {
+		return false
+	}
+	gap := time.Duration(stallFactor * l.held / float64(l.running) * float64(time.Second))
+	return now.Sub(l.quiet) > max(stallMin, gap)
+}
+
 func (l *Limit) adjust(now time.Time) {
 	if float64(l.bad) > float64(l.count)*refusedPart {
 		l.set(l.value * step)
--- a/core/shed/shed.go
+++ b/core/shed/shed.go
@@ -44,8 +44,8 @@
 	// quickRise is the bound on one step up while the queue is empty. A jump to the target overshot, because the arrivals
 	// follow a level with half a second of delay.
 	quickRise = 4
-	gainMin  = 0.8
-	gainMax  = 1.5
+	gainMin   = 0.8
+	gainMax   = 1.5
 	// ownPart is how near the range of arriving cohorts must be to a level for the level to be what limits them.
 	ownPart = 0.75
 )
@@ -150,6 +150,16 @@
 	d.correct(s, limited)
 }
 
+// Skip ends a window without setting the levels.
+func (d *Shed) Skip() {
+	for p := range d.kinds {
+		for b := range d.kinds[p] {
+			k := &d.kinds[p][b]
+			k.arrived, k.withheld, k.cohorts = 0, 0, 0
+		}
+	}
+}
+
 func (d *Shed) slotTimeOf(k *kind) float64 {
 	if k.slotTime > 0 {
 		return k.slotTime
--- a/internal/measure/leg.go
+++ b/internal/measure/leg.go
@@ -169,7 +169,11 @@
 	case fixedLimit:
 		return l.retries < hopRetries && l.from.retry(l.service, l.w.now)
 	default:
-		if r.kind == fault.Shed || r.deep || l.req.left <= 0 || !l.from.retry(l.service, l.w.now) {
+		c := l.call()
+		if r.kind == fault.Shed && c.Cohort() >= int(l.from.table.Level(l.w.time(), c.Service(), c.Method(), c.Priority(), c.Backer())) {
+			return false // the other targets would shed it too
+		}
+		if r.deep || l.req.left <= 0 || !l.from.retry(l.service, l.w.now) {
 			return false
 		}
 		l.req.left--
--- a/internal/measure/picker.go
+++ b/internal/measure/picker.go
@@ -34,14 +34,16 @@
 
 type seen struct {
 	inFlight int
-	latency  float64 // seconds, moving average that rises at once
-	at       time.Time
-	answered time.Time
-	since    time.Time // first send without an answer since
+	latency  float64   // seconds, moving average that rises at once
+	since    time.Time // start of the present time without an answer
+	avoid    time.Time // end of the time in which a member that refused is not chosen
 }
 
-// tail estimates the p95 latency of a service.
-type tail struct{ p95 float64 }
+// tail estimates the mean and the p99 of the latency of a service. Hedges start at the p99: at the p95 they would use up
+// their budget on calls that are merely slow and leave nothing for a stall.
+type tail struct{ mean, p99 float64 }
+
+const avoidFor = 200 * time.Millisecond
 
 func newPicker(v variant, seed uint64) mustardmast.Picker {
 	if v != fullControl {
@@ -76,7 +78,7 @@
 	a := open[p.rand.IntN(len(open))]
 	b := open[p.rand.IntN(len(open))]
 	for range 2 { // a silent member is passed over when another is found
-		if !p.silent(now, a.ID, t) {
+		if !p.silent(now, a.ID, t) && !now.Before(p.of(a.ID).avoid) {
 			break
 		}
 		a = open[p.rand.IntN(len(open))]
@@ -101,15 +103,18 @@
 	return false
 }
 
-// silent reports whether a member has calls in flight and has answered none for three times the p95.
+// silent reports whether a member has answered nothing for many times the usual gap between two of its answers.
 func (p *twoChoices) silent(now time.Time, id mustardmast.NodeID, t *tail) bool {
 	s := p.of(id)
-	return t != nil && s.inFlight > 0 && now.Sub(s.since).Seconds() > 2*t.p95
+	return t != nil && s.inFlight > 0 && now.Sub(s.since).Seconds() > 5*t.mean/float64(s.inFlight)+0.02
 }
 
 func (p *twoChoices) cost(now time.Time, id mustardmast.NodeID, t *tail) float64 {
 	s := p.of(id)
 	c := (s.latency + 1e-3) * float64(s.inFlight+1)
+	if now.Before(s.avoid) {
+		c *= 100
+	}
 	if p.silent(now, id, t) {
 		c *= 1000
 	}
@@ -122,6 +127,11 @@
 	if r.Kind == fault.Canceled {
 		return
 	}
+	if r.Kind == fault.QueueFull {
+		// A member that refuses has few calls in flight and would attract all of them.
+		s.avoid = now.Add(avoidFor)
+		return
+	}
 	s.since = now
 	v := r.Latency.Seconds()
 	if r.Kind != fault.None {
@@ -133,13 +143,14 @@
 	}
 	t := p.tails[r.Service]
 	if t == nil {
-		t = &tail{p95: 2 * v}
+		t = &tail{mean: v, p99: 3 * v}
 		p.tails[r.Service] = t
 	}
-	if v > t.p95 { // moves up 19 times as far as down, so it rests where 1 in 20 is above
-		t.p95 += t.p95 * 0.019
+	t.mean += (v - t.mean) * 0.01
+	if v > t.p99 { // moves up 99 times as far as down, so it rests where 1 in 100 is above
+		t.p99 += t.p99 * 0.0495
 	} else {
-		t.p95 -= t.p95 * 0.001
+		t.p99 -= t.p99 * 0.0005
 	}
 }
 
@@ -148,5 +159,5 @@
 	if t == nil || !c.Idempotent() || c.Long() {
 		return 0, false
 	}
-	return time.Duration(t.p95 * float64(time.Second)), true
+	return time.Duration(t.p99 * float64(time.Second)), true
 }
--- a/internal/measure/world.go
+++ b/internal/measure/world.go
@@ -60,6 +60,7 @@
 	retryRatio = 0.1
 	hedgeRatio = 0.03
 	edgeBurst  = 10
+	hedgeBurst = 100 // stalls come in bursts
 )
 
 func (n *node) edge(service string) *edge {
@@ -74,7 +75,7 @@
 func (n *node) succeeded(service string) {
 	e := n.edge(service)
 	e.tokens = min(e.tokens+retryRatio, edgeBurst)
-	e.hedges = min(e.hedges+hedgeRatio, edgeBurst)
+	e.hedges = min(e.hedges+hedgeRatio, hedgeBurst)
 }
 
 func (n *node) retry(service string, now time.Duration) bool {
