--- a/core/level/level.go
+++ b/core/level/level.go
@@ -15,6 +15,7 @@
 package level
 
 import (
+	"math"
 	"sync"
 	"time"
 
@@ -29,13 +30,17 @@
 	// Expiry is the time that a learned level holds.
 	Expiry = 2 * time.Second
 	// probeEvery is the time after which one call is forwarded although its cohort is above the level.
-	probeEvery = 200 * time.Millisecond
+	probeEvery = 100 * time.Millisecond
 	// DefaultSize bounds the table: about 100 methods with 4 priorities and 10 backers.
 	DefaultSize = 4096
 	shards      = 16
-	// Each answer moves the level by weight of the difference, and by maxStep at most.
-	weight  = 0.1
-	maxStep = 2
+	// An answer moves the level by a part of the difference that grows with the time since the last one, with this time
+	// constant, and by leastPart at least. A chain adds up the delays of its hops; with ten times as much, the levels
+	// at the entry swung around those of the last hop.
+	memory    = 100 * time.Millisecond
+	leastPart = 0.1
+	// boundPart is the part of the whole range that an answer may move the level, in relation to the same growth.
+	boundPart = 0.3
 	// marginPercent is the margin for calls below the first hop, for which work has been done already.
 	marginPercent = 25
 )
@@ -105,11 +110,14 @@
 		e = &entry{level: call.Cohorts, forwarded: now}
 		s.entries[k] = e
 	}
-	v := float64(min(l, mustardmast.FullLevel))
-	if !e.fresh(now) {
+	part := 1.0
+	if e.fresh(now) {
+		part = max(1-math.Exp(-now.Sub(e.learned).Seconds()/memory.Seconds()), leastPart)
+	} else {
 		e.level = call.Cohorts
 	}
-	e.level += min(max((v-e.level)*weight, -maxStep), maxStep)
+	bound := part * boundPart * call.Cohorts
+	e.level += min(max((float64(min(l, mustardmast.FullLevel))-e.level)*part, -bound), bound)
 	e.learned = now
 }
 
--- a/core/shed/shed.go
+++ b/core/shed/shed.go
@@ -16,9 +16,10 @@
 // A gain corrects what the model gets wrong: it grows while slots are idle although requests are shed, and shrinks
 // while the queue refuses work. It moves slowly, because a level takes most of a second to show in the arrivals.
 //
-// Hysteresis: a level rises by at most one step (1/64) in a window, or four if the queue was empty in it, and falls to
-// its target at once, but only if that is at least two steps below. A level is thus less than two steps above its
-// target after a window, and reaches a target above it within 64 windows, or 16 if the queue stays empty. A lower priority has a level above 0 only where the
+// Hysteresis: in a window a level rises by one step (1/64), or by as many as take 15% of the slots that are free, and
+// falls to its target at once, but only if that is at least two steps below. After a window a level is thus less than
+// two steps above its target, and it reaches a target above it within 64 windows. A lower priority has a level above 0
+// only where the
 // next higher one of the same backer is fully admitted.
 //
 // A Shed is not safe for concurrent use; core/admit holds it under its lock.
@@ -41,11 +42,11 @@
 	// enough is the number of arrivals in memory above which their mean cohort is used.
 	enough   = 8
 	deadBand = 2
-	// quickRise is the bound on one step up while the queue is empty. A jump to the target overshot, because the arrivals
-	// follow a level with half a second of delay.
-	quickRise = 4
-	gainMin   = 0.8
-	gainMax   = 1.5
+	// freePart is the part of the free slots that a rise of one level may take in a window. Arrivals follow a level with
+	// about six windows of delay; with a quarter, levels overshot after a surge.
+	freePart = 0.15
+	gainMin  = 0.8
+	gainMax  = 1.5
 	// ownPart is how near the range of arriving cohorts must be to a level for the level to be what limits them.
 	ownPart = 0.75
 )
@@ -137,11 +138,7 @@
 			k := &d.kinds[p][b]
 			target := k.target(d.alloc[b], d.demand[b], d.slotTimeOf(k))
 			limited = limited || target < call.Cohorts
-			rise := 1.0
-			if s.Empty && k.own() {
-				rise = quickRise
-			}
-			k.move(target, rise)
+			k.move(target, k.rise(s.Limit-s.Busy, d.slotTimeOf(k)))
 			if p > 0 && d.kinds[p-1][b].level < call.Cohorts {
 				k.level = 0
 			}
@@ -202,16 +199,27 @@
 	return !ok || span >= k.level*ownPart
 }
 
-// target returns the level at which a kind uses what it was given.
-func (k *kind) target(alloc, demand, slotTime float64) float64 {
-	if alloc >= demand*(1-1e-9) || slotTime <= 0 {
-		return call.Cohorts
-	}
-	density := (k.rate + k.held) / call.Cohorts
+// density returns the arrivals a second per cohort.
+func (k *kind) density() float64 {
 	if span, ok := k.span(); ok {
-		density = k.rate / span
+		return k.rate / span
 	}
-	if density <= 0 {
+	return (k.rate + k.held) / call.Cohorts
+}
+
+// rise returns the bound on a step up: what would take a part of the slots that are free.
+func (k *kind) rise(free, slotTime float64) float64 {
+	step := k.density() * slotTime
+	if step <= 0 {
+		return call.Cohorts
+	}
+	return max(math.Floor(free*freePart/step), 1)
+}
+
+// target returns the level at which a kind uses what it was given.
+func (k *kind) target(alloc, demand, slotTime float64) float64 {
+	density := k.density()
+	if alloc >= demand*(1-1e-9) || slotTime <= 0 || density <= 0 {
 		return call.Cohorts
 	}
 	return min(alloc/slotTime/density, call.Cohorts)
@@ -233,7 +241,7 @@
 	case !limited:
 		d.gain += (1 - d.gain) * 0.2
 	case s.Refused > 0.02 || s.Waited:
-		d.gain *= 1 - min(max(s.Refused/4, 0.005), 0.05)
+		d.gain *= 1 - 0.005
 	case s.Empty && s.Busy < s.Limit*0.98:
 		d.gain *= 1.01
 	}
