--- /dev/null
+++ b/core/shed/shed.go
@@ -0,0 +1,249 @@
+// Package shed decides which part of each kind of request a target admits.
+//
+// A kind is a priority and a backer. In each window the target's capacity, in slots, is divided among the kinds by
+// strict priority, and within a priority by weighted max-min over the backers' shares. A kind that gets less than its
+// demand has a level below 64: only requests whose cohort is below it are admitted. The cohort of a request is the
+// same at every hop, so hops that shed at the same time shed the same requests.
+//
+// Demand counts what arrives and what senders withheld. The arrivals may have passed a level at an earlier hop
+// already, so that only low cohorts come. The density, arrivals per cohort, is therefore taken over the range of
+// cohorts that arrive, estimated from their mean, and the level is the allocation over the density.
+//
+// What senders withheld counts as demand only where the level of this target is what they withheld it for. Where far
+// fewer cohorts arrive than this target admits, another service on the way is the narrower one, and capacity kept for
+// what it holds back would stay idle.
+//
+// A gain corrects what the model gets wrong: it grows while slots are idle although requests are shed, and shrinks
+// while the queue refuses work. It moves slowly, because a level takes most of a second to show in the arrivals.
+//
+// Hysteresis: in a window a level rises by one step (1/64), or by as many as take 15% of the slots that are free, and
+// falls to its target at once, but only if that is at least two steps below. After a window a level is thus less than
+// two steps above its target, and it reaches a target above it within 64 windows. A lower priority has a level above 0
+// only where the
+// next higher one of the same backer is fully admitted.
+//
+// A Shed is not safe for concurrent use; core/admit holds it under its lock.
+package shed
+
+import (
+	"math"
+	"time"
+
+	"mustardmast"
+	"mustardmast/core/call"
+	"mustardmast/core/share"
+)
+
+const (
+	// Window is the time between two adjustments.
+	Window = 100 * time.Millisecond
+	// memory is the time constant of the demand averages. A target sees a few dozen requests of a kind in it.
+	memory = 600 * time.Millisecond
+	// enough is the number of arrivals in memory above which their mean cohort is used.
+	enough   = 8
+	deadBand = 2
+	// freePart is the part of the free slots that a rise of one level may take in a window. Arrivals follow a level with
+	// about six windows of delay; with a quarter, levels overshot after a surge.
+	freePart = 0.15
+	gainMin  = 0.8
+	gainMax  = 1.5
+	// ownPart is how near the range of arriving cohorts must be to a level for the level to be what limits them.
+	ownPart = 0.75
+)
+
+// kind is one priority and backer.
+type kind struct {
+	arrived, withheld float64 // in this window
+	cohorts           float64 // sum over arrived
+	rate, held        float64 // per second, averaged
+	mean              float64 // mean cohort, averaged
+	slotTime          float64 // seconds that one call holds a slot, averaged
+	level             float64
+}
+
+// Shed holds the levels of one target. Use New.
+type Shed struct {
+	share    *share.Share
+	kinds    [call.Priorities][]kind
+	demand   []float64
+	alloc    []float64
+	slotTime float64
+	gain     float64
+}
+
+// New returns a Shed that admits everything. It has one entry per priority and backer.
+func New(s *share.Share) *Shed {
+	d := &Shed{share: s, demand: make([]float64, s.Len()), alloc: make([]float64, s.Len()), gain: 1}
+	for p := range d.kinds {
+		d.kinds[p] = make([]kind, s.Len())
+		for b := range d.kinds[p] {
+			d.kinds[p][b].level = call.Cohorts
+			d.kinds[p][b].mean = (call.Cohorts - 1) / 2.0
+		}
+	}
+	return d
+}
+
+// Level returns the level in force.
+func (d *Shed) Level(p call.Priority, backer int) mustardmast.Level {
+	return mustardmast.Level(d.kinds[min(p, call.Priorities-1)][backer].level)
+}
+
+// Arrived counts one request, and those that its sender withheld since the last one.
+func (d *Shed) Arrived(p call.Priority, backer, cohort int, withheld uint32) {
+	k := &d.kinds[min(p, call.Priorities-1)][backer]
+	k.arrived++
+	k.cohorts += float64(cohort)
+	k.withheld += float64(withheld)
+}
+
+// Ran counts the time that one request held a slot.
+func (d *Shed) Ran(p call.Priority, backer int, held time.Duration) {
+	k := &d.kinds[min(p, call.Priorities-1)][backer]
+	average(&k.slotTime, held.Seconds(), 1.0/64)
+	average(&d.slotTime, held.Seconds(), 1.0/256)
+}
+
+func average(to *float64, v, weight float64) {
+	if *to == 0 {
+		*to = v
+		return
+	}
+	*to += (v - *to) * weight
+}
+
+// State is what the target did in a window.
+type State struct {
+	Elapsed time.Duration
+	Limit   float64 // slots, averaged over the window
+	Busy    float64 // slots in use, averaged over the window
+	Refused float64 // part of the work that reached the queue and was refused there
+	Empty   bool    // the queue was empty at least once
+	Waited  bool    // the queue was never empty and its oldest item waited long
+}
+
+// Advance ends a window and sets the levels.
+func (d *Shed) Advance(s State) {
+	w := 1 - math.Exp(-s.Elapsed.Seconds()/memory.Seconds())
+	rest := s.Limit * d.gain
+	limited := false
+	for p := range d.kinds {
+		for b := range d.kinds[p] {
+			k := &d.kinds[p][b]
+			k.advance(s.Elapsed.Seconds(), w)
+			d.demand[b] = k.demand() * d.slotTimeOf(k)
+		}
+		rest = d.share.Split(rest, d.demand, d.alloc)
+		for b := range d.kinds[p] {
+			k := &d.kinds[p][b]
+			target := k.target(d.alloc[b], d.demand[b], d.slotTimeOf(k))
+			limited = limited || target < call.Cohorts
+			k.move(target, k.rise(s.Limit-s.Busy, d.slotTimeOf(k)))
+			if p > 0 && d.kinds[p-1][b].level < call.Cohorts {
+				k.level = 0
+			}
+		}
+	}
+	d.correct(s, limited)
+}
+
+// Skip ends a window without setting the levels.
+func (d *Shed) Skip() {
+	for p := range d.kinds {
+		for b := range d.kinds[p] {
+			k := &d.kinds[p][b]
+			k.arrived, k.withheld, k.cohorts = 0, 0, 0
+		}
+	}
+}
+
+func (d *Shed) slotTimeOf(k *kind) float64 {
+	if k.slotTime > 0 {
+		return k.slotTime
+	}
+	return d.slotTime
+}
+
+func (k *kind) advance(seconds, weight float64) {
+	if seconds <= 0 {
+		return
+	}
+	before := k.rate * (1 - weight)
+	k.rate = before + k.arrived/seconds*weight
+	k.held += (k.withheld/seconds - k.held) * weight
+	if k.arrived > 0 && k.rate > 0 {
+		k.mean += (k.cohorts/k.arrived - k.mean) * (k.rate - before) / k.rate
+	}
+	k.arrived, k.withheld, k.cohorts = 0, 0, 0
+}
+
+// span returns the range of cohorts that arrive, and false when there are too few arrivals to tell.
+func (k *kind) span() (float64, bool) {
+	return min(2*k.mean+1, call.Cohorts), k.rate*memory.Seconds() >= enough
+}
+
+// demand returns the requests a second that would come if this target admitted everything.
+func (k *kind) demand() float64 {
+	if !k.own() {
+		return k.rate
+	}
+	return k.rate + k.held
+}
+
+// own reports whether the level of this target is what limits the arrivals.
+func (k *kind) own() bool {
+	if k.level >= call.Cohorts {
+		return false
+	}
+	span, ok := k.span()
+	return !ok || span >= k.level*ownPart
+}
+
+// density returns the arrivals a second per cohort.
+func (k *kind) density() float64 {
+	if span, ok := k.span(); ok {
+		return k.rate / span
+	}
+	return (k.rate + k.held) / call.Cohorts
+}
+
+// rise returns the bound on a step up: what would take a part of the slots that are free.
+func (k *kind) rise(free, slotTime float64) float64 {
+	step := k.density() * slotTime
+	if step <= 0 {
+		return call.Cohorts
+	}
+	return max(math.Floor(free*freePart/step), 1)
+}
+
+// target returns the level at which a kind uses what it was given.
+func (k *kind) target(alloc, demand, slotTime float64) float64 {
+	density := k.density()
+	if alloc >= demand*(1-1e-9) || slotTime <= 0 || density <= 0 {
+		return call.Cohorts
+	}
+	return min(alloc/slotTime/density, call.Cohorts)
+}
+
+// move changes the level towards its target.
+func (k *kind) move(target, rise float64) {
+	switch {
+	case target >= k.level+1:
+		k.level = math.Floor(min(target, k.level+rise))
+	case target <= k.level-deadBand || target < 1:
+		k.level = math.Floor(target)
+	}
+}
+
+// correct moves the gain. It returns to 1 when nothing is limited, so that it is not wound up when a surge begins.
+func (d *Shed) correct(s State, limited bool) {
+	switch {
+	case !limited:
+		d.gain += (1 - d.gain) * 0.2
+	case s.Refused > 0.02 || s.Waited:
+		d.gain *= 1 - 0.005
+	case s.Empty && s.Busy < s.Limit*0.98:
+		d.gain *= 1.01
+	}
+	d.gain = min(max(d.gain, gainMin), gainMax)
+}
