--- a/core/ledger/ledger_test.go
+++ b/core/ledger/ledger_test.go
@@ -187,6 +187,6 @@
 	d, _ = g.Begin(start, q)
 	fmt.Println(d.Action == ledger.Replay, string(d.Answer.Body))
 	// Output:
-	// send attempt 1 with 3 retries to node 9
+	// send attempt 1 with 2 retries to node 9
 	// true unplugged
 }
