--- a/core/level/level.go
+++ b/core/level/level.go
@@ -17,12 +17,14 @@
 import (
 	"math"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
 
 	"mustardmast"
 	"mustardmast/core/call"
+	"mustardmast/core/config"
 	"mustardmast/core/share"
 )
 
@@ -53,7 +55,7 @@
 
 // Table holds learned levels. It is safe for concurrent use. Use New.
 type Table struct {
-	share  *share.Share
+	share  atomic.Pointer[share.Share]
 	bound  int // per shard
 	shards [shards]shard
 }
@@ -82,13 +84,28 @@
 	if s.Size <= 0 {
 		s.Size = DefaultSize
 	}
-	t := &Table{share: s.Share, bound: max(s.Size/shards, 1)}
+	if s.Share == nil {
+		s.Share = share.New(nil)
+	}
+	t := &Table{bound: max(s.Size/shards, 1)}
+	t.share.Store(s.Share)
 	for i := range t.shards {
 		t.shards[i].entries = make(map[key]*entry)
 	}
 	return t
 }
 
+// SetBackers takes a new configuration. What was learned by the old one is forgotten.
+func (t *Table) SetBackers(backers []config.Backer) {
+	t.share.Store(share.New(backers))
+	for i := range t.shards {
+		s := &t.shards[i]
+		s.mu.Lock()
+		clear(s.entries)
+		s.mu.Unlock()
+	}
+}
+
 func (t *Table) shard(service string) *shard {
 	return &t.shards[xxhash.Sum64String(service)%shards]
 }
@@ -144,7 +161,7 @@
 }
 
 func (t *Table) key(c call.Call) key {
-	return key{c.Service(), c.Method(), c.Priority(), t.share.Index(c.Backer())}
+	return key{c.Service(), c.Method(), c.Priority(), t.share.Load().Index(c.Backer())}
 }
 
 // Level returns what is known of a method, FullLevel if nothing is.
@@ -152,7 +169,7 @@
 	s := t.shard(service)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if e := s.entries[key{service, method, p, t.share.Index(backer)}]; e != nil {
+	if e := s.entries[key{service, method, p, t.share.Load().Index(backer)}]; e != nil {
 		return e.value(now)
 	}
 	return mustardmast.FullLevel
--- a/core/member/packet.go
+++ b/core/member/packet.go
@@ -21,7 +21,7 @@
 // Sizes of datagrams in bytes.
 const (
 	MaxPacket = 1200 // passes every usual path unfragmented
-	MaxDigest = 64
+	MaxDigest = 160
 	Overhead  = 28 // IPv4 and UDP headers, which count as control bytes too
 )
 
--- /dev/null
+++ b/core/trace/trace_test.go
@@ -0,0 +1,41 @@
+package trace_test
+
+import (
+	"fmt"
+	"strconv"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"mustardmast/core/trace"
+)
+
+// Guards against a memory that grows with the number of requests or of steps.
+func TestMemoryIsBounded(t *testing.T) {
+	tr := trace.New()
+	for i := range 10 * trace.Requests {
+		tr.Note(time.Unix(0, 0), strconv.Itoa(i), "entered", "")
+	}
+	known := 0
+	for i := range 10 * trace.Requests {
+		known += len(tr.Steps(strconv.Itoa(i)))
+	}
+	assert.Assert(t, known <= trace.Requests, "%d", known)
+	for range 100 {
+		tr.Note(time.Unix(0, 0), "x", "sent", "")
+	}
+	assert.Equal(t, len(tr.Steps("x")), trace.Steps)
+}
+
+func ExampleTrace() {
+	tr := trace.New()
+	tr.Note(time.Unix(1, 0), "a1", "entered", "socket-board/assign")
+	tr.Note(time.Unix(2, 0), "a1/record", "sent", "to host-7")
+	for _, s := range tr.Steps("a1") {
+		fmt.Println(s.At.Unix(), s.What, s.Detail)
+	}
+	// Output:
+	// 1 entered socket-board/assign
+	// 2 sent /record to host-7
+}
--- a/daemon/providers.go
+++ b/daemon/providers.go
@@ -5,6 +5,7 @@
 	crand "crypto/rand"
 	"encoding/binary"
 	"math/rand/v2"
+	"sync"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -14,6 +15,7 @@
 	"mustardmast"
 	"mustardmast/core/config"
 	"mustardmast/core/ledger"
+	"mustardmast/core/quarantine"
 	"mustardmast/core/register"
 	"mustardmast/core/requestid"
 	"mustardmast/io/control"
@@ -77,9 +79,11 @@
 	return register.New(i.id, t.Now(), requestid.DefaultWindow, register.DefaultLimits)
 }
 
+func newQuarantine(i identity) *quarantine.Quarantine { return quarantine.New(i.id) }
+
 func newControl(
 	s settings.Settings, i identity, self mustardmast.Member, p mustardmast.Platform, t *tick.Service,
-	configs *node.Configs, r *register.Register, z *zap.Logger, l *eventlog.Log,
+	configs *node.Configs, r *register.Register, q *quarantine.Quarantine, z *zap.Logger, l *eventlog.Log,
 ) (*control.Control, error) {
 	return control.New(control.Settings{
 		Self: self, Seeds: s.Seeds(), Platform: p, Timers: t, Decode: decode,
@@ -91,10 +95,12 @@
 			l.Write(eventlog.ConfigInstalled, zap.Uint64("generation", generation), zap.String("change-id", changeID))
 			return nil
 		},
-		Outcomes: registerOutcomes{register: r, clock: t},
-		Wanted:   func() []string { return wanted(configs) },
-		Rand:     rand.New(rand.NewPCG(i.seed, 2)),
-		Log:      z,
+		Outcomes:   registerOutcomes{register: r, clock: t},
+		Quarantine: q,
+		OnDigest:   func(_ mustardmast.NodeID, digest []byte) { q.Merge(t.Now(), control.DecodeDigest(digest)) },
+		Wanted:     func() []string { return wanted(configs) },
+		Rand:       rand.New(rand.NewPCG(i.seed, 2)),
+		Log:        z,
 	})
 }
 
@@ -120,11 +126,11 @@
 
 func newNode(
 	self mustardmast.Member, i identity, t *tick.Service, c *control.Control, configs *node.Configs,
-	r *register.Register, l *eventlog.Log,
+	r *register.Register, q *quarantine.Quarantine, l *eventlog.Log,
 ) *node.Node {
 	n := node.New(node.Parts{
 		Self: self, Timers: t, Members: c.Members(), Configs: &gate{configs: configs, control: c, clock: t}, Register: r,
-		Asker: asker{control: c}, Log: l, Key: i.key, Seed: i.seed,
+		Quarantine: q, Teller: teller{control: c}, Asker: asker{control: c}, Log: l, Key: i.key, Seed: i.seed,
 	})
 	configs.Watch(n.SetConfig)
 	return n
@@ -198,3 +204,18 @@
 		return ledger.Unreachable
 	}
 }
+
+// teller sends the evidence of a crash to the other nodes of the service.
+type teller struct{ control *control.Control }
+
+func (l teller) Tell(ctx context.Context, service string, news []quarantine.News) {
+	var all sync.WaitGroup
+	for _, m := range l.control.Members().Serving(service) {
+		all.Add(1)
+		go func() {
+			defer all.Done()
+			_ = l.control.SendQuarantine(ctx, m, news) // gossip repeats it for those who cannot be reached now
+		}()
+	}
+	all.Wait()
+}
--- a/daemon/wire.go
+++ b/daemon/wire.go
@@ -19,7 +19,7 @@
 	wire.Build(
 		newIdentity, newMember, newLogger, eventlog.New, tick.New, metrics.NewSet, newPlatform,
 		wire.Bind(new(mustardmast.Platform), new(*platform.Client)),
-		newRegister, wire.Struct(new(node.Configs)), newControl, newNode, newAdmin, New,
+		newRegister, newQuarantine, wire.Struct(new(node.Configs)), newControl, newNode, newAdmin, New,
 	)
 	return nil, nil
 }
--- a/daemon/wire_gen.go
+++ b/daemon/wire_gen.go
@@ -31,16 +31,17 @@
 	}
 	configs := &node.Configs{}
 	register := newRegister(daemonIdentity, service)
+	quarantine := newQuarantine(daemonIdentity)
 	logger, err := newLogger(s)
 	if err != nil {
 		return nil, err
 	}
 	log := eventlog.New(logger)
-	control, err := newControl(s, daemonIdentity, member, client, service, configs, register, logger, log)
+	control, err := newControl(s, daemonIdentity, member, client, service, configs, register, quarantine, logger, log)
 	if err != nil {
 		return nil, err
 	}
-	nodeNode := newNode(member, daemonIdentity, service, control, configs, register, log)
+	nodeNode := newNode(member, daemonIdentity, service, control, configs, register, quarantine, log)
 	handler := newAdmin(nodeNode, service)
 	daemon := New(s, service, control, nodeNode, handler, log)
 	return daemon, nil
--- a/io/caller/server.go
+++ b/io/caller/server.go
@@ -15,6 +15,7 @@
 	"mustardmast/core/call"
 	"mustardmast/core/config"
 	"mustardmast/core/fault"
+	"mustardmast/core/level"
 	"mustardmast/core/retry"
 	"mustardmast/io/execute"
 	"mustardmast/io/header"
@@ -47,13 +48,14 @@
 	ids      IDs
 	dispatch Dispatcher
 	running  *execute.Running
+	below    *level.Below
 	leaving  func() error
 }
 
-// New returns a server. Leaving returns the error with which a stopping node refuses calls that enter the system, and
+// New returns a server. Below learns which sub-calls the target makes. Leaving returns the error with which a stopping node refuses calls that enter the system, and
 // nil before that.
-func New(clock mustardmast.Clock, configs Configs, ids IDs, dispatch Dispatcher, running *execute.Running, leaving func() error) *Server {
-	return &Server{clock: clock, configs: configs, ids: ids, dispatch: dispatch, running: running, leaving: leaving}
+func New(clock mustardmast.Clock, configs Configs, ids IDs, dispatch Dispatcher, running *execute.Running, below *level.Below, leaving func() error) *Server {
+	return &Server{clock: clock, configs: configs, ids: ids, dispatch: dispatch, running: running, below: below, leaving: leaving}
 }
 
 // Mount adds the server's paths to m.
@@ -103,7 +105,9 @@
 	defer cancel()
 	a, err := s.dispatch.Dispatch(ctx, r)
 	parent.ended(a)
-	w.Header().Set(header.AdmissionLevel, strconv.Itoa(int(a.Level)))
+	if a.HasLevel {
+		w.Header().Set(header.AdmissionLevel, strconv.Itoa(int(a.Level)))
+	}
 	w.Header().Set(header.RetryBudget, strconv.Itoa(a.Retries))
 	if err != nil {
 		header.WriteError(w, r.Call.ID(), err)
@@ -137,9 +141,15 @@
 	message.CopyHeader(h, q.Header)
 	header.RemoveHop(h)
 	h.Del("Expect")
-	return &message.Request{
-		Call: call.New(spec), Method: q.Method, URI: q.URL.RequestURI(), Header: h, Body: body, Digest: body.Digest(),
-	}, parent, nil
+	r := &message.Request{
+		Call: call.New(spec), Method: q.Method, URI: q.URL.RequestURI(), Header: h, Body: body,
+		Digest: body.Digest(q.URL.RequestURI()),
+	}
+	if parent != nil {
+		r.Withheld = parent.parent.Withheld()
+		s.below.Saw(parent.parent.Call().Method(), r.Call)
+	}
+	return r, parent, nil
 }
 
 // spec fills the parts of the call, from the configuration first, then the headers, then the parent's limits.
@@ -238,7 +248,6 @@
 	if n == nil {
 		return
 	}
-	n.parent.Lower(a.Level)
 	n.grant.Return(a.Retries)
 }
 
--- a/io/control/client.go
+++ b/io/control/client.go
@@ -12,6 +12,7 @@
 	"mustardmast"
 	"mustardmast/core/fault"
 	"mustardmast/core/member"
+	"mustardmast/core/quarantine"
 	"mustardmast/io/control/controlv1"
 )
 
@@ -107,17 +108,12 @@
 	return OutcomeAnswer{State: OutcomeState(resp.State), Status: int(resp.Status)}, nil
 }
 
-// ExchangeQuarantine sends fingerprints to a member and returns its own.
-func (c *Control) ExchangeQuarantine(ctx context.Context, to mustardmast.Member, q QuarantineQuery) (
-	QuarantineAnswer, error,
-) {
-	resp, err := c.client.to(to.Address).Quarantine(ctx, &controlv1.QuarantineRequest{
-		From: uint64(c.s.Self.ID), Fingerprints: encodeFingerprints(q.Fingerprints), Start: q.Start,
-	})
-	if err != nil {
-		return QuarantineAnswer{}, fault.Wrap(err, fault.PeerUnreachable, "quarantine exchange")
+// SendQuarantine tells a member the evidence about requests that crashed targets.
+func (c *Control) SendQuarantine(ctx context.Context, to mustardmast.Member, news []quarantine.News) error {
+	if _, err := c.client.to(to.Address).Quarantine(ctx, encodeNews(news)); err != nil {
+		return fault.Wrap(err, fault.PeerUnreachable, "send quarantine news")
 	}
-	return QuarantineAnswer{Fingerprints: decodeFingerprints(resp.Fingerprints), MayStart: resp.MayStart}, nil
+	return nil
 }
 
 // sync pulls the records that differ from one of the given members, page by page while the budget lasts. Pages of a
--- a/io/control/server.go
+++ b/io/control/server.go
@@ -10,6 +10,7 @@
 
 	"mustardmast"
 	"mustardmast/core/member"
+	"mustardmast/core/quarantine"
 	"mustardmast/io/control/controlv1"
 )
 
@@ -43,30 +44,9 @@
 	Outcome(ctx context.Context, q OutcomeQuery) OutcomeAnswer
 }
 
-// Fingerprint is one request content that crashed targets.
-type Fingerprint struct {
-	Hash        uint64
-	Crashes     uint32
-	Expires     time.Duration
-	Quarantined bool
-}
-
-// QuarantineQuery carries a node's fingerprints, and the hash of a suspect request that asks to run alone, or 0.
-type QuarantineQuery struct {
-	From         mustardmast.NodeID
-	Fingerprints []Fingerprint
-	Start        uint64
-}
-
-// QuarantineAnswer carries the receiver's fingerprints and whether the suspect request may start.
-type QuarantineAnswer struct {
-	Fingerprints []Fingerprint
-	MayStart     bool
-}
-
-// Quarantine merges fingerprints.
+// Quarantine takes evidence from other nodes.
 type Quarantine interface {
-	Exchange(ctx context.Context, q QuarantineQuery) QuarantineAnswer
+	Merge(now time.Time, news []quarantine.News) bool
 }
 
 // Handler returns the path and handler of the control service, to be mounted on the server of the peer address.
@@ -143,39 +123,11 @@
 	return &controlv1.OutcomeResponse{State: controlv1.OutcomeState(a.State), Status: uint32(a.Status)}, nil
 }
 
-// Quarantine merges fingerprints.
-func (s *service) Quarantine(ctx context.Context, r *controlv1.QuarantineRequest) (
-	*controlv1.QuarantineResponse, error,
-) {
+// Quarantine takes evidence about requests that crashed targets.
+func (s *service) Quarantine(_ context.Context, r *controlv1.QuarantineRequest) (*controlv1.QuarantineResponse, error) {
 	if s.c.s.Quarantine == nil {
 		return nil, connect.NewError(connect.CodeUnimplemented, errors.New("this node has no quarantine"))
 	}
-	a := s.c.s.Quarantine.Exchange(ctx, QuarantineQuery{
-		From: mustardmast.NodeID(r.From), Fingerprints: decodeFingerprints(r.Fingerprints), Start: r.Start,
-	})
-	return &controlv1.QuarantineResponse{
-		Fingerprints: encodeFingerprints(a.Fingerprints), MayStart: a.MayStart,
-	}, nil
-}
-
-func encodeFingerprints(fs []Fingerprint) []*controlv1.Fingerprint {
-	out := make([]*controlv1.Fingerprint, len(fs))
-	for i, f := range fs {
-		out[i] = &controlv1.Fingerprint{
-			Hash: f.Hash, Crashes: f.Crashes, Quarantined: f.Quarantined,
-			ExpiresInSeconds: uint32(max(f.Expires, 0) / time.Second),
-		}
-	}
-	return out
-}
-
-func decodeFingerprints(fs []*controlv1.Fingerprint) []Fingerprint {
-	out := make([]Fingerprint, len(fs))
-	for i, f := range fs {
-		out[i] = Fingerprint{
-			Hash: f.Hash, Crashes: f.Crashes, Quarantined: f.Quarantined,
-			Expires: time.Duration(f.ExpiresInSeconds) * time.Second,
-		}
-	}
-	return out
+	s.c.s.Quarantine.Merge(s.c.s.Timers.Now(), decodeNews(r))
+	return &controlv1.QuarantineResponse{}, nil
 }
--- a/io/dispatch/dispatch.go
+++ b/io/dispatch/dispatch.go
@@ -7,14 +7,16 @@
 
 import (
 	"context"
-	"time"
 
 	"mustardmast"
 	"mustardmast/core/call"
 	"mustardmast/core/fault"
 	"mustardmast/core/ledger"
+	"mustardmast/core/level"
+	"mustardmast/core/quarantine"
 	"mustardmast/core/requestid"
 	"mustardmast/core/retry"
+	"mustardmast/core/trace"
 	"mustardmast/io/execute"
 	"mustardmast/io/message"
 )
@@ -35,58 +37,46 @@
 	Ask(ctx context.Context, executor mustardmast.NodeID, a ledger.Attempt) ledger.Settlement
 }
 
-// Levels are the admission levels learned from answers. They refuse a call that its chain would shed anyway.
-type Levels interface {
-	// Admit reports whether the call may go out; it counts the calls that it holds back.
-	Admit(now time.Time, c call.Call) bool
-
-	// Withheld returns, and resets, the count of calls held back since the last call of this kind went out.
-	Withheld(now time.Time, c call.Call) uint32
-
-	// Learn notes the level that came back.
-	Learn(now time.Time, c call.Call, l mustardmast.Level)
-}
-
 // Dispatcher takes calls to targets.
 type Dispatcher struct {
-	self     mustardmast.Member
-	clock    mustardmast.Clock
-	members  mustardmast.Directory
-	picker   mustardmast.Picker
-	policy   *retry.Policy
-	levels   Levels
-	issuer   *requestid.Issuer
-	ledger   *ledger.Ledger
-	peers    Peers
-	local    Local
-	outcomes Outcomes
+	p Parts
 }
 
 // Parts are what a Dispatcher works with.
 type Parts struct {
-	Self     mustardmast.Member
-	Clock    mustardmast.Clock
-	Members  mustardmast.Directory
-	Picker   mustardmast.Picker
-	Policy   *retry.Policy
-	Levels   Levels
-	Issuer   *requestid.Issuer
-	Ledger   *ledger.Ledger
-	Peers    Peers
-	Local    Local
-	Outcomes Outcomes
+	Self       mustardmast.Member
+	Clock      mustardmast.Clock
+	Members    mustardmast.Directory
+	Picker     mustardmast.Picker
+	Policy     *retry.Policy
+	Levels     *level.Table // learned from answers; refuses calls that their chain would shed anyway
+	Quarantine *quarantine.Quarantine
+	Issuer     *requestid.Issuer
+	Ledger     *ledger.Ledger
+	Peers      Peers
+	Local      Local
+	Outcomes   Outcomes
+	Trace      *trace.Trace
 }
 
 // New returns a dispatcher.
-func New(p Parts) *Dispatcher {
-	return &Dispatcher{
-		self: p.Self, clock: p.Clock, members: p.Members, picker: p.Picker, policy: p.Policy, levels: p.Levels,
-		issuer: p.Issuer, ledger: p.Ledger, peers: p.Peers, local: p.Local, outcomes: p.Outcomes,
-	}
-}
+func New(p Parts) *Dispatcher { return &Dispatcher{p} }
 
 // Dispatch takes the call to a target, by way of its owner if it is not idempotent.
 func (d *Dispatcher) Dispatch(ctx context.Context, r *message.Request) (execute.Answer, error) {
+	d.note(r.Call, "entered", r.Call.Service()+"/"+r.Call.Method())
+	a, err := d.dispatch(ctx, r)
+	if err != nil {
+		d.note(r.Call, "failed", err.Error())
+	}
+	return a, err
+}
+
+func (d *Dispatcher) note(c call.Call, what, detail string) {
+	d.p.Trace.Note(d.p.Clock.Now(), c.ID(), what, detail)
+}
+
+func (d *Dispatcher) dispatch(ctx context.Context, r *message.Request) (execute.Answer, error) {
 	if r.Call.Idempotent() {
 		return d.repeat(ctx, r)
 	}
@@ -94,7 +84,7 @@
 	if !ok {
 		return d.refuse(r.Call), fault.Newf(fault.RequestIDNotIssued, "request id %q", r.Call.ID())
 	}
-	if id.Owner() == d.self.ID {
+	if id.Owner() == d.p.Self.ID {
 		return d.own(ctx, r, id)
 	}
 	return d.forward(ctx, r, id.Owner())
@@ -103,19 +93,19 @@
 // Execute serves calls that other nodes forward to this one as the owner. It implements peer.Runner.
 func (d *Dispatcher) Execute(ctx context.Context, r *message.Request, h execute.Hop) (execute.Answer, error) {
 	id, ok := requestid.Parse(r.Call.ID())
-	if !ok || id.Owner() != d.self.ID || h.Addressed != d.self.ID {
-		return d.refuse(r.Call), Weaken(r.Call, fault.Newf(fault.WrongIncarnation, "this is incarnation %x", uint64(d.self.ID)))
+	if !ok || id.Owner() != d.p.Self.ID || h.Addressed != d.p.Self.ID {
+		return d.refuse(r.Call), Weaken(r.Call, fault.Newf(fault.WrongIncarnation, "this is incarnation %x", uint64(d.p.Self.ID)))
 	}
 	return d.own(ctx, r, id)
 }
 
 // forward sends the call to its owner. Only the owner can say that an earlier attempt was not executed.
 func (d *Dispatcher) forward(ctx context.Context, r *message.Request, owner mustardmast.NodeID) (execute.Answer, error) {
-	m, ok := d.members.Find(owner)
+	m, ok := d.p.Members.Find(owner)
 	if !ok {
 		return d.refuse(r.Call), fault.Newf(fault.OutcomeUnknown, "the node %x that issued the request id is gone; this attempt was not started", uint64(owner))
 	}
-	a, err := d.peers.Own(ctx, m, r)
+	a, err := d.p.Peers.Own(ctx, m, r)
 	if k := fault.KindOf(err); k == fault.PeerUnreachable {
 		return a, fault.Wrap(err, fault.OutcomeUnknown, "the node that issued the request id cannot be reached; this attempt was not started")
 	}
@@ -124,7 +114,7 @@
 
 // refuse is the answer to a call that went nowhere.
 func (d *Dispatcher) refuse(c call.Call) execute.Answer {
-	return execute.Answer{Level: mustardmast.FullLevel, Retries: c.Retries()}
+	return execute.Answer{Retries: c.Retries()}
 }
 
 // Weaken returns err with the outcome unknown if the call is a resend of a non-idempotent request whose ledger was not
--- a/io/dispatch/hedge.go
+++ b/io/dispatch/hedge.go
@@ -14,13 +14,14 @@
 // hedged is one attempt that may make a second send when the first is late. The first successful answer wins and the
 // other send is cancelled.
 type hedged struct {
-	d      *Dispatcher
-	r      *message.Request
-	b      *retry.Budget
-	tried  *[]mustardmast.NodeID
-	done   chan sent
-	cancel [2]context.CancelFunc
-	twice  atomic.Bool // the second send was made
+	d        *Dispatcher
+	r        *message.Request
+	b        *retry.Budget
+	tried    *[]mustardmast.NodeID
+	withheld uint32
+	done     chan sent
+	cancel   [2]context.CancelFunc
+	twice    atomic.Bool // the second send was made
 }
 
 // sent is how one of the two sends ended.
@@ -32,7 +33,7 @@
 
 func (h *hedged) run(ctx context.Context, first mustardmast.Member, wait time.Duration) (execute.Answer, error) {
 	h.done = make(chan sent, len(h.cancel))
-	h.start(ctx, 0, first, sendOptions{hedgeUnused: func() bool { return !h.twice.Load() }})
+	h.start(ctx, 0, first, sendOptions{withheld: h.withheld, hedgeUnused: func() bool { return !h.twice.Load() }})
 	t := time.NewTimer(wait)
 	defer t.Stop()
 	select {
@@ -40,7 +41,7 @@
 		return h.finish(s)
 	case <-t.C:
 	}
-	second, ok := h.d.picker.Pick(h.d.clock.Now(), h.r.Call, h.d.members.Serving(h.r.Call.Service()), *h.tried)
+	second, ok := h.d.p.Picker.Pick(h.d.p.Clock.Now(), h.r.Call, h.d.p.Members.Serving(h.r.Call.Service()), *h.tried)
 	if !ok {
 		return h.finish(<-h.done)
 	}
--- a/io/dispatch/own.go
+++ b/io/dispatch/own.go
@@ -19,7 +19,7 @@
 // because a refusal as not-executed must hold for earlier sends of the same id too.
 func (d *Dispatcher) own(ctx context.Context, r *message.Request, id requestid.ID) (execute.Answer, error) {
 	c := r.Call
-	dec, err := d.ledger.Begin(d.clock.Now(), ledger.Request{
+	dec, err := d.p.Ledger.Begin(d.p.Clock.Now(), ledger.Request{
 		ID: id, Service: c.Service(), Method: c.Method(), Backer: c.Backer(), Digest: r.Digest, Attempt: c.Attempt(),
 		Retries: c.Retries(),
 	})
@@ -27,7 +27,7 @@
 		return d.refuse(c), err
 	}
 	if dec.Action == ledger.Replay {
-		return execute.Answer{Level: mustardmast.FullLevel, Response: replay(dec.Answer)}, nil
+		return execute.Answer{Response: replay(dec.Answer)}, nil
 	}
 	// A caller whose connection broke will ask again under the same id. The request runs on to its deadline, so that
 	// the answer is there to be given.
@@ -67,60 +67,62 @@
 }
 
 func (o *owned) release() {
-	o.d.ledger.Release(o.d.clock.Now(), o.ticket)
+	o.d.p.Ledger.Release(o.d.p.Clock.Now(), o.ticket)
 	o.cancel()
 }
 
 // run sends attempts until one ends in something else than a truthful not-executed, or no retries are left.
 func (o *owned) run(ctx context.Context, r *message.Request) (execute.Answer, error) {
 	d := o.d
-	if !d.levels.Admit(d.clock.Now(), r.Call) {
-		return d.refuse(r.Call), fault.New(fault.Shed, "the services below shed calls of this priority and backer")
+	withheld, err := d.admit(r)
+	if err != nil {
+		return d.refuse(r.Call), err
 	}
 	var tried []mustardmast.NodeID
 	for n := 1; ; n++ {
-		a, err := o.attempt(ctx, r, &tried)
+		a, err := o.attempt(ctx, r, &tried, withheld)
+		withheld = 0 // counted by the first send
 		if err == nil {
 			if n == 1 {
-				d.policy.Succeeded(d.clock.Now(), r.Call)
+				d.p.Policy.Succeeded(d.p.Clock.Now(), r.Call)
 			}
-			a.Retries += d.ledger.Retries(d.clock.Now(), o.ticket)
+			a.Retries += d.p.Ledger.Retries(d.p.Clock.Now(), o.ticket)
 			return a, nil
 		}
 		// The ledger holds the request's budget; the policy decides on the outcome, the deadline and the edge's ratio.
 		if !d.again(ctx, r.Call, retry.NewBudget(1), err, n) {
-			a.Retries = d.ledger.Retries(d.clock.Now(), o.ticket)
+			a.Retries = d.p.Ledger.Retries(d.p.Clock.Now(), o.ticket)
 			return a, err
 		}
 	}
 }
 
 // attempt makes one send and settles the ledger's record by how it ended.
-func (o *owned) attempt(ctx context.Context, r *message.Request, tried *[]mustardmast.NodeID) (execute.Answer, error) {
+func (o *owned) attempt(ctx context.Context, r *message.Request, tried *[]mustardmast.NodeID, withheld uint32) (execute.Answer, error) {
 	d := o.d
-	now := d.clock.Now()
+	now := d.p.Clock.Now()
 	if r.Call.Expired(now) {
 		return d.refuse(r.Call), fault.New(fault.DeadlinePassed, "before it was sent to a target")
 	}
-	m, ok := d.pick(now, r.Call, tried)
-	if !ok {
-		return d.refuse(r.Call), fault.Newf(fault.NoTarget, "service %q", r.Call.Service())
+	m, _, err := d.pick(now, r, tried)
+	if err != nil {
+		return d.refuse(r.Call), err
 	}
-	at, retries, err := d.ledger.Dispatched(now, o.ticket, m.ID)
+	at, retries, err := d.p.Ledger.Dispatched(now, o.ticket, m.ID)
 	if err != nil {
-		d.picker.Done(now, mustardmast.Result{Member: m.ID, Service: r.Call.Service(), Kind: fault.Canceled})
+		d.p.Picker.Done(now, mustardmast.Result{Member: m.ID, Service: r.Call.Service(), Kind: fault.Canceled})
 		return d.refuse(r.Call), err
 	}
-	a, err := d.send(ctx, m, r, retry.NewBudget(retries).Grant(true), sendOptions{nonce: uint64(at.Nonce)})
+	a, err := d.send(ctx, m, r, retry.NewBudget(retries).Grant(true), sendOptions{nonce: uint64(at.Nonce), withheld: withheld})
 	if err == nil {
 		o.keep(&a, at)
 		return a, nil
 	}
 	if fault.From(err).Outcome() == fault.NotExecuted {
-		d.ledger.Returned(d.clock.Now(), o.ticket, at, a.Retries)
+		d.p.Ledger.Returned(d.p.Clock.Now(), o.ticket, at, a.Retries)
 		return a, err
 	}
-	if d.ledger.Lost(d.clock.Now(), o.ticket, at) {
+	if d.p.Ledger.Lost(d.p.Clock.Now(), o.ticket, at) {
 		if settled := o.ask(context.WithoutCancel(ctx), at); settled != nil {
 			return a, settled
 		}
@@ -131,20 +133,20 @@
 
 // ask settles an attempt by what its executor says. Nil means that it was not executed and never will be.
 func (o *owned) ask(ctx context.Context, a ledger.Attempt) error {
-	s := o.d.outcomes.Ask(ctx, a.Executor, a)
-	return o.d.ledger.Settled(o.d.clock.Now(), o.ticket, a, s)
+	s := o.d.p.Outcomes.Ask(ctx, a.Executor, a)
+	return o.d.p.Ledger.Settled(o.d.p.Clock.Now(), o.ticket, a, s)
 }
 
 // keep lets the ledger have the answer when it is complete.
 func (o *owned) keep(a *execute.Answer, at ledger.Attempt) {
 	b := &keptBody{ReadCloser: a.Response.Body, limit: ledger.DefaultLimits.Answer, done: func(body []byte, whole bool) {
 		defer o.release()
-		now := o.d.clock.Now()
+		now := o.d.p.Clock.Now()
 		if !whole {
-			_ = o.d.ledger.Settled(now, o.ticket, at, ledger.Executed)
+			_ = o.d.p.Ledger.Settled(now, o.ticket, at, ledger.Executed)
 			return
 		}
-		o.d.ledger.Done(now, o.ticket, at, ledger.Answer{
+		o.d.p.Ledger.Done(now, o.ticket, at, ledger.Answer{
 			Status: a.Response.Status, Type: a.Response.Header.Get("Content-Type"), Body: body,
 		})
 	}}
--- a/io/dispatch/repeat.go
+++ b/io/dispatch/repeat.go
@@ -7,6 +7,7 @@
 	"mustardmast"
 	"mustardmast/core/call"
 	"mustardmast/core/fault"
+	"mustardmast/core/quarantine"
 	"mustardmast/core/retry"
 	"mustardmast/io/execute"
 	"mustardmast/io/message"
@@ -14,17 +15,19 @@
 
 // repeat sends an idempotent call, and again on failure while the budgets allow.
 func (d *Dispatcher) repeat(ctx context.Context, r *message.Request) (execute.Answer, error) {
-	if now := d.clock.Now(); !d.levels.Admit(now, r.Call) {
-		return d.refuse(r.Call), fault.New(fault.Shed, "the services below shed calls of this priority and backer")
+	withheld, err := d.admit(r)
+	if err != nil {
+		return d.refuse(r.Call), err
 	}
 	b := retry.NewBudget(r.Call.Retries())
 	var tried []mustardmast.NodeID
 	for n := 1; ; n++ {
-		a, err := d.try(ctx, r, b, &tried)
+		a, err := d.try(ctx, r, b, &tried, withheld)
+		withheld = 0 // counted by the first send
 		a.Retries = b.Left()
 		if err == nil {
 			if n == 1 {
-				d.policy.Succeeded(d.clock.Now(), r.Call)
+				d.p.Policy.Succeeded(d.p.Clock.Now(), r.Call)
 			}
 			return a, nil
 		}
@@ -34,9 +37,22 @@
 	}
 }
 
+// shedRetryAfter is told to callers that are refused by a learned level. Levels are set anew every 100 ms and recover
+// over a second or so.
+const shedRetryAfter = 500 * time.Millisecond
+
+// admit refuses a call that its chain would shed anyway, and returns the calls held back before that it stands for.
+func (d *Dispatcher) admit(r *message.Request) (uint32, error) {
+	withheld, ok := d.p.Levels.Admit(d.p.Clock.Now(), r.Call, r.Withheld)
+	if !ok {
+		return 0, fault.New(fault.Shed, "the services below shed calls of this priority and backer").WithRetryAfter(shedRetryAfter)
+	}
+	return withheld, nil
+}
+
 // again decides on one more send and waits for its time.
 func (d *Dispatcher) again(ctx context.Context, c call.Call, b *retry.Budget, err error, n int) bool {
-	dec := d.policy.Decide(d.clock.Now(), c, b, err, n)
+	dec := d.p.Policy.Decide(d.p.Clock.Now(), c, b, err, n)
 	if dec.Action == retry.GiveUp {
 		return false
 	}
@@ -54,55 +70,91 @@
 }
 
 // try makes one attempt, with a second send beside it if the first one is late and hedging is allowed.
-func (d *Dispatcher) try(ctx context.Context, r *message.Request, b *retry.Budget, tried *[]mustardmast.NodeID) (execute.Answer, error) {
-	now := d.clock.Now()
-	m, ok := d.pick(now, r.Call, tried)
-	if !ok {
-		return d.refuse(r.Call), fault.Newf(fault.NoTarget, "service %q", r.Call.Service())
+func (d *Dispatcher) try(ctx context.Context, r *message.Request, b *retry.Budget, tried *[]mustardmast.NodeID, withheld uint32) (execute.Answer, error) {
+	now := d.p.Clock.Now()
+	m, suspect, err := d.pick(now, r, tried)
+	if err != nil {
+		return d.refuse(r.Call), err
 	}
 	wait, hedge := time.Duration(0), false
-	if r.Body.Whole() {
-		wait, hedge = d.picker.HedgeAfter(now, r.Call)
+	if r.Body.Whole() && !suspect {
+		wait, hedge = d.p.Picker.HedgeAfter(now, r.Call)
 	}
 	if !hedge {
-		return d.send(ctx, m, r, b.Lend(), sendOptions{})
+		return d.send(ctx, m, r, b.Lend(), sendOptions{withheld: withheld})
 	}
-	h := hedged{d: d, r: r, b: b, tried: tried}
+	h := hedged{d: d, r: r, b: b, tried: tried, withheld: withheld}
 	return h.run(ctx, m, wait)
 }
 
 // pick chooses a member. When every member was tried, all may be tried again: the failure may have been of a moment.
-func (d *Dispatcher) pick(now time.Time, c call.Call, tried *[]mustardmast.NodeID) (mustardmast.Member, bool) {
-	members := d.members.Serving(c.Service())
-	m, ok := d.picker.Pick(now, c, members, *tried)
+// Content that is suspected of crashing targets has one member that may run it.
+func (d *Dispatcher) pick(now time.Time, r *message.Request, tried *[]mustardmast.NodeID) (m mustardmast.Member, suspect bool, err error) {
+	c := r.Call
+	members := d.p.Members.Serving(c.Service())
+	home, suspect, err := d.home(now, r, members)
+	if err != nil {
+		return m, suspect, err
+	}
+	if suspect {
+		members = home
+	}
+	m, ok := d.p.Picker.Pick(now, c, members, *tried)
 	if !ok && len(*tried) > 0 {
 		*tried = (*tried)[:0]
-		m, ok = d.picker.Pick(now, c, members, nil)
+		m, ok = d.p.Picker.Pick(now, c, members, nil)
+	}
+	if !ok {
+		return m, suspect, fault.Newf(fault.NoTarget, "service %q", c.Service())
+	}
+	*tried = append(*tried, m.ID)
+	return m, suspect, nil
+}
+
+// home returns the one member that may run a suspect request.
+func (d *Dispatcher) home(now time.Time, r *message.Request, members []mustardmast.Member) ([]mustardmast.Member, bool, error) {
+	f := quarantine.Of(r.Call.Service(), r.Call.Method(), r.Call.Backer(), r.Digest)
+	if d.p.Quarantine.State(now, f) == quarantine.Clear {
+		return nil, false, nil
+	}
+	ids := make([]mustardmast.NodeID, len(members))
+	for i, m := range members {
+		ids[i] = m.ID
 	}
-	if ok {
-		*tried = append(*tried, m.ID)
+	id, only, err := d.p.Quarantine.Check(now, f, ids)
+	if err != nil || !only {
+		return nil, only, err
 	}
-	return m, ok
+	for i, m := range members {
+		if m.ID == id {
+			return members[i : i+1 : i+1], true, nil
+		}
+	}
+	return nil, true, nil
 }
 
 // sendOptions are the rarely used parts of a send.
 type sendOptions struct {
 	nonce       uint64      // the owner's dispatch number
+	withheld    uint32      // calls held back before this one
 	hedgeUnused func() bool // whether a second send was reserved and not made
 }
 
 // send makes one send to one member and reports it to the picker when the answer was read to its end.
 func (d *Dispatcher) send(ctx context.Context, m mustardmast.Member, r *message.Request, g *retry.Grant, o sendOptions) (execute.Answer, error) {
-	start := d.clock.Now()
+	start := d.p.Clock.Now()
 	s := r.Call.Spec()
 	s.Retries = g.Units()
 	out := *r
 	out.Call = call.New(s)
-	h := execute.Hop{Addressed: m.ID, Nonce: o.nonce, Withheld: d.levels.Withheld(start, r.Call)}
+	h := execute.Hop{Addressed: m.ID, Nonce: o.nonce, Withheld: o.withheld}
+	d.note(r.Call, "sent", m.Name)
 	a, err := d.deliver(ctx, m, &out, h)
 	g.Return(a.Retries)
-	now := d.clock.Now()
-	d.levels.Learn(now, r.Call, a.Level)
+	now := d.p.Clock.Now()
+	if a.HasLevel {
+		d.p.Levels.Learn(now, r.Call, a.Level)
+	}
 	res := mustardmast.Result{
 		Member: m.ID, Service: r.Call.Service(), Latency: now.Sub(start), Load: a.Load,
 		HasLoad: a.Load.Limit > 0, Long: r.Call.Long(),
@@ -110,7 +162,7 @@
 	report := func(err error) {
 		res.Kind = fault.KindOf(err)
 		res.HedgeUnused = o.hedgeUnused != nil && o.hedgeUnused()
-		d.picker.Done(d.clock.Now(), res)
+		d.p.Picker.Done(d.p.Clock.Now(), res)
 	}
 	if err != nil {
 		report(err)
@@ -121,8 +173,8 @@
 }
 
 func (d *Dispatcher) deliver(ctx context.Context, m mustardmast.Member, r *message.Request, h execute.Hop) (execute.Answer, error) {
-	if m.ID == d.self.ID {
-		return d.local.Execute(ctx, r, h)
+	if m.ID == d.p.Self.ID {
+		return d.p.Local.Execute(ctx, r, h)
 	}
-	return d.peers.Execute(ctx, m, r, h)
+	return d.p.Peers.Execute(ctx, m, r, h)
 }
--- a/io/execute/executor.go
+++ b/io/execute/executor.go
@@ -14,6 +14,8 @@
 	"mustardmast"
 	"mustardmast/core/call"
 	"mustardmast/core/fault"
+	"mustardmast/core/level"
+	"mustardmast/core/quarantine"
 	"mustardmast/core/register"
 	"mustardmast/io/message"
 	"mustardmast/io/target"
@@ -31,7 +33,8 @@
 	Response *message.Response
 	Load     mustardmast.Load
 	Level    mustardmast.Level
-	Retries  int // rest of the call's retry budget, also when the call failed
+	HasLevel bool // whether the answer carried a level
+	Retries  int  // rest of the call's retry budget, also when the call failed
 }
 
 // Sender sends a request to the target at an address.
@@ -41,38 +44,40 @@
 
 // Executor runs calls on the target of this host.
 type Executor struct {
-	id       mustardmast.NodeID
-	clock    mustardmast.Clock
-	admit    mustardmast.Admitter
-	local    *target.Local
-	sender   Sender
-	guards   []Guard
+	p        Parts
 	attempts attempts
-	running  *Running
+	crashes  *crashes
 	waiters  waiters
 	tickets  atomic.Uint64
 	inFlight atomic.Int64
 }
 
-// Guard checks a call between admission and the target, and hears how it ended.
-type Guard interface {
-	// Before returns an error to refuse the call. The error must be a kind whose outcome is not-executed.
-	Before(now time.Time, c call.Call, digest uint64, h Hop) error
-
-	// After is called once for each call that passed Before. The status is 0 if the target sent none.
-	After(now time.Time, c call.Call, digest uint64, h Hop, status int, err error)
+// Parts are what an Executor works with.
+type Parts struct {
+	Self       mustardmast.Member
+	Clock      mustardmast.Clock
+	Members    mustardmast.Directory
+	Admitter   mustardmast.Admitter
+	Local      *target.Local
+	Sender     Sender
+	Running    *Running
+	Register   *register.Register
+	Quarantine *quarantine.Quarantine
+	Teller     Teller
+	Levels     *level.Table
+	Below      *level.Below
+	Crashed    func(service string, inFlight int) // hears of each crash of the target
 }
 
-// New returns an executor. The guards are asked in order.
-func New(id mustardmast.NodeID, clock mustardmast.Clock, admit mustardmast.Admitter, local *target.Local, sender Sender, running *Running, reg *register.Register, guards ...Guard) *Executor {
-	return &Executor{
-		id: id, clock: clock, admit: admit, local: local, sender: sender, running: running, attempts: attempts{reg},
-		guards: guards,
-	}
+// New returns an executor.
+func New(p Parts) *Executor {
+	return &Executor{p: p, attempts: attempts{p.Register}, crashes: &crashes{
+		id: p.Self.ID, quarantine: p.Quarantine, running: p.Running, teller: p.Teller, crashed: p.Crashed,
+	}}
 }
 
 // Tick advances the admission. It is subscribed to the timer service.
-func (x *Executor) Tick(now time.Time) { x.deliver(now, x.admit.Tick(now)) }
+func (x *Executor) Tick(now time.Time) { x.deliver(now, x.p.Admitter.Tick(now)) }
 
 // InFlight returns the number of calls that hold a slot or wait for one.
 func (x *Executor) InFlight() int { return int(x.inFlight.Load()) }
@@ -84,31 +89,37 @@
 	if err != nil {
 		x.inFlight.Add(-1)
 	}
-	now := x.clock.Now()
-	a.Load = x.admit.Load(now)
-	a.Level = min(a.Level, x.admit.LevelFor(now, r.Call.Priority(), r.Call.Backer()))
+	now := x.p.Clock.Now()
+	a.Load = x.p.Admitter.Load(now)
+	a.Level, a.HasLevel = x.level(now, r.Call), true
 	return a, err
 }
 
+// level is the lower one of this target's own level and of those that the method's sub-calls meet.
+func (x *Executor) level(now time.Time, c call.Call) mustardmast.Level {
+	own := x.p.Admitter.LevelFor(now, c.Priority(), c.Backer())
+	return min(own, x.p.Below.Min(now, x.p.Levels, c.Method(), c.Priority(), c.Backer()))
+}
+
 func (x *Executor) execute(ctx context.Context, r *message.Request, h Hop) (Answer, error) {
-	none := Answer{Level: mustardmast.FullLevel, Retries: r.Call.Retries()}
-	now := x.clock.Now()
-	if h.Addressed != x.id {
-		return none, fault.Newf(fault.WrongIncarnation, "this is incarnation %x", uint64(x.id))
+	none := Answer{Retries: r.Call.Retries()}
+	now := x.p.Clock.Now()
+	if h.Addressed != x.p.Self.ID {
+		return none, fault.Newf(fault.WrongIncarnation, "this is incarnation %x", uint64(x.p.Self.ID))
 	}
 	if _, err := x.ready(now, r.Call); err != nil {
 		return none, x.attempts.refuse(now, r.Call, h, err)
 	}
 	ticket := x.tickets.Add(1)
 	if err := x.slot(ctx, now, ticket, r.Call, h); err != nil {
-		return none, x.attempts.refuse(x.clock.Now(), r.Call, h, err)
+		return none, x.attempts.refuse(x.p.Clock.Now(), r.Call, h, err)
 	}
 	res, e, err := x.send(ctx, ticket, r, h)
-	return Answer{Response: res, Level: e.Level(), Retries: e.Retries()}, err
+	return Answer{Response: res, Retries: e.Retries()}, err
 }
 
 func (x *Executor) ready(now time.Time, c call.Call) (target.Announcement, error) {
-	a, err := x.local.Ready(now)
+	a, err := x.p.Local.Ready(now)
 	switch {
 	case err != nil:
 		return a, err
@@ -123,7 +134,7 @@
 // slot waits until the admission grants a slot.
 func (x *Executor) slot(ctx context.Context, now time.Time, ticket uint64, c call.Call, h Hop) error {
 	granted := x.waiters.expect(ticket)
-	v := x.admit.Offer(now, mustardmast.Work{Ticket: ticket, Call: c, Deadline: c.Deadline(), Long: c.Long(), Withheld: h.Withheld})
+	v := x.p.Admitter.Offer(now, mustardmast.Work{Ticket: ticket, Call: c, Deadline: c.Deadline(), Long: c.Long(), Withheld: h.Withheld})
 	if v.Action == mustardmast.Wait {
 		select {
 		case v = <-granted:
@@ -142,8 +153,8 @@
 
 // abandon withdraws a ticket, or gives the slot back if the grant came first.
 func (x *Executor) abandon(ticket uint64, granted chan mustardmast.Verdict) {
-	now := x.clock.Now()
-	x.admit.Cancel(now, ticket)
+	now := x.p.Clock.Now()
+	x.p.Admitter.Cancel(now, ticket)
 	x.waiters.forget(ticket)
 	select {
 	case v := <-granted:
@@ -156,37 +167,25 @@
 
 // send gives the call to the target. The slot is released when it fails or when the response's body is closed.
 func (x *Executor) send(ctx context.Context, ticket uint64, r *message.Request, h Hop) (*message.Response, *Execution, error) {
-	e := newExecution(r.Call)
-	passed, err := x.guard(r, h)
-	if err == nil {
-		x.running.add(e)
-		var res *message.Response
-		start := x.clock.Now()
-		if res, err = x.write(ctx, start, r, h); err == nil {
-			res.Body = &body{ReadCloser: res.Body, finish: func(err error) {
-				x.finish(ticket, e, r, h, passed, start, res.Status, err)
-				x.inFlight.Add(-1)
-			}}
-			return res, e, nil
-		}
-		x.finish(ticket, e, r, h, passed, start, 0, err)
+	e := newExecution(r.Call, quarantine.Of(r.Call.Service(), r.Call.Method(), r.Call.Backer(), r.Digest), h.Withheld)
+	run := &run{x: x, ticket: ticket, e: e, r: r, h: h}
+	if err := run.quarantine(ctx); err != nil {
+		err = x.attempts.refuse(x.p.Clock.Now(), r.Call, h, err)
+		run.finish(0, err)
 		return nil, e, err
 	}
-	now := x.clock.Now()
-	err = x.attempts.refuse(now, r.Call, h, err)
-	x.finish(ticket, e, r, h, passed, now, 0, err)
-	return nil, e, err
-}
-
-// guard asks the guards in order and returns how many let the call pass.
-func (x *Executor) guard(r *message.Request, h Hop) (int, error) {
-	now := x.clock.Now()
-	for i, g := range x.guards {
-		if err := g.Before(now, r.Call, r.Digest, h); err != nil {
-			return i, err
-		}
+	x.p.Running.add(e)
+	run.start = x.p.Clock.Now()
+	res, err := x.write(ctx, run.start, r, h)
+	if err != nil {
+		run.finish(0, err)
+		return nil, e, err
 	}
-	return len(x.guards), nil
+	res.Body = &body{ReadCloser: res.Body, finish: func(err error) {
+		run.finish(res.Status, err)
+		x.inFlight.Add(-1)
+	}}
+	return res, e, nil
 }
 
 // write checks readiness, deadline and register again and writes the request to the target. The process may have been
@@ -199,26 +198,14 @@
 	if err := x.attempts.start(now, r.Call, h); err != nil {
 		return nil, err
 	}
-	res, err := x.sender.Send(ctx, a, now, r, seenByTarget(r.Call))
+	res, err := x.p.Sender.Send(ctx, a, now, r, seenByTarget(r.Call))
 	if err != nil {
-		x.attempts.end(x.clock.Now(), r.Call, h, err)
+		x.attempts.end(x.p.Clock.Now(), r.Call, h, err)
+		x.crashes.failed(x.p.Clock.Now(), a, err)
 	}
 	return res, err
 }
 
-// finish ends a call that held a slot.
-func (x *Executor) finish(ticket uint64, e *Execution, r *message.Request, h Hop, passed int, start time.Time, status int, err error) {
-	now := x.clock.Now()
-	if status != 0 {
-		x.attempts.end(now, r.Call, h, err)
-	}
-	for _, g := range x.guards[:passed] {
-		g.After(now, r.Call, r.Digest, h, status, err)
-	}
-	x.running.remove(e)
-	x.release(ticket, now.Sub(start), fault.KindOf(err))
-}
-
 // seenByTarget is the call with the target's own service on its path, so that the target's sub-calls carry it.
 func seenByTarget(c call.Call) call.Call {
 	s := c.Spec()
@@ -227,8 +214,8 @@
 }
 
 func (x *Executor) release(ticket uint64, latency time.Duration, k fault.Kind) {
-	now := x.clock.Now()
-	x.deliver(now, x.admit.Done(now, mustardmast.Completion{Ticket: ticket, Latency: latency, Kind: k}))
+	now := x.p.Clock.Now()
+	x.deliver(now, x.p.Admitter.Done(now, mustardmast.Completion{Ticket: ticket, Latency: latency, Kind: k}))
 }
 
 // deliver passes verdicts on. A slot granted to a call that has gone goes to the next one.
@@ -236,7 +223,7 @@
 	for len(vs) > 0 {
 		var next []mustardmast.Verdict
 		for _, t := range x.waiters.deliver(vs) {
-			next = append(next, x.admit.Done(now, mustardmast.Completion{Ticket: t, Kind: fault.Canceled})...)
+			next = append(next, x.p.Admitter.Done(now, mustardmast.Completion{Ticket: t, Kind: fault.Canceled})...)
 		}
 		vs = next
 	}
--- a/io/execute/running.go
+++ b/io/execute/running.go
@@ -3,16 +3,15 @@
 import (
 	"sync"
 
-	"mustardmast"
 	"mustardmast/core/call"
+	"mustardmast/core/quarantine"
 	"mustardmast/core/retry"
 )
 
 const runningShards = 16
 
 // Running is the table of calls that the target on this host runs now. A sub-call that the target makes finds its
-// parent here: the parent's retry budget pays for the sub-call's retries, and the levels that come back with the
-// sub-call's answer go up with the parent's. The table holds at most one entry per slot.
+// parent here, whose retry budget pays for the sub-call's retries. The table holds at most one entry per slot.
 type Running struct {
 	shards [runningShards]struct {
 		mu sync.Mutex
@@ -38,20 +37,35 @@
 	return e, ok
 }
 
-// Calls returns the calls that run now.
-func (r *Running) Calls() []call.Call {
-	var l []call.Call
+// fingerprints returns what runs now, for the evidence of a crash.
+func (r *Running) fingerprints() []quarantine.Fingerprint {
+	var l []quarantine.Fingerprint
 	for i := range r.shards {
 		s := &r.shards[i]
 		s.mu.Lock()
 		for _, e := range s.m {
-			l = append(l, e.call)
+			l = append(l, e.fingerprint)
 		}
 		s.mu.Unlock()
 	}
 	return l
 }
 
+// others returns how many calls run beside e.
+func (r *Running) others(e *Execution) int {
+	n := 0
+	for i := range r.shards {
+		s := &r.shards[i]
+		s.mu.Lock()
+		n += len(s.m)
+		s.mu.Unlock()
+	}
+	if _, ok := r.Find(e.call.ID()); ok {
+		n--
+	}
+	return n
+}
+
 func (r *Running) add(e *Execution) {
 	s := &r.shards[shardOf(e.call.ID())]
 	s.mu.Lock()
@@ -78,14 +92,14 @@
 
 // Execution is one call that the target runs.
 type Execution struct {
-	call   call.Call
-	budget *retry.Budget
-	mu     sync.Mutex
-	level  mustardmast.Level
+	call        call.Call
+	fingerprint quarantine.Fingerprint
+	withheld    uint32 // calls held back above that this call stands for
+	budget      *retry.Budget
 }
 
-func newExecution(c call.Call) *Execution {
-	return &Execution{call: c, budget: retry.NewBudget(c.Retries()), level: mustardmast.FullLevel}
+func newExecution(c call.Call, f quarantine.Fingerprint, withheld uint32) *Execution {
+	return &Execution{call: c, fingerprint: f, withheld: withheld, budget: retry.NewBudget(c.Retries())}
 }
 
 // Call returns the call.
@@ -97,16 +111,5 @@
 // Retries returns what is left.
 func (e *Execution) Retries() int { return e.budget.Left() }
 
-// Lower notes the level that a sub-call met.
-func (e *Execution) Lower(l mustardmast.Level) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	e.level = min(e.level, l)
-}
-
-// Level returns the lowest level met below this call.
-func (e *Execution) Level() mustardmast.Level {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	return e.level
-}
+// Withheld returns how many calls, held back by senders above, this call stands for beside itself.
+func (e *Execution) Withheld() uint32 { return e.withheld }
--- a/io/message/body.go
+++ b/io/message/body.go
@@ -2,14 +2,15 @@
 
 import (
 	"io"
-	"strconv"
 	"sync"
 
 	"github.com/cespare/xxhash/v2"
+
+	"mustardmast/core/quarantine"
 )
 
 // PrefixSize is how much of a request body is kept for sending it again and for its digest.
-const PrefixSize = 64 << 10
+const PrefixSize = quarantine.PrefixSize
 
 // Body is a request body that can be read again from its start until more than PrefixSize bytes were read.
 type Body struct {
@@ -134,12 +135,10 @@
 	return nil
 }
 
-// Digest returns a hash over the first bytes and the declared length. Two requests with the same digest, method and
-// backer are taken for the same content.
-func (b *Body) Digest() uint64 {
-	var d xxhash.Digest
-	d.Reset()
-	_, _ = d.Write(b.prefix)
-	_, _ = d.WriteString(strconv.FormatInt(b.length, 10))
-	return d.Sum64()
+// Digest returns a hash over the path and query, the first bytes of the body and its declared length. Two requests with
+// the same digest, method and backer are taken for the same content.
+func (b *Body) Digest(uri string) uint64 {
+	h := quarantine.NewHasher(b.length)
+	_, _ = h.Write(b.prefix) // a Hasher never fails
+	return h.Sum() ^ xxhash.Sum64String(uri)
 }
--- a/io/message/message.go
+++ b/io/message/message.go
@@ -19,6 +19,8 @@
 	Header http.Header
 	Body   *Body
 	Digest uint64 // of the content, see Body.Digest
+
+	Withheld uint32 // calls held back above that this one stands for; 0 at the entry
 }
 
 // Response is a target's response on its way back.
--- a/io/peer/client.go
+++ b/io/peer/client.go
@@ -64,7 +64,7 @@
 }
 
 func (c *Client) send(ctx context.Context, m mustardmast.Member, path string, r *message.Request, h execute.Hop) (execute.Answer, error) {
-	none := execute.Answer{Level: mustardmast.FullLevel}
+	var none execute.Answer
 	out, err := c.request(m, path, r, h)
 	if err != nil {
 		return none, err
@@ -101,7 +101,7 @@
 
 // answer checks that the response belongs to the call and takes off what the node added.
 func (c *Client) answer(sent call.Call, res *http.Response) (execute.Answer, error) {
-	a := execute.Answer{Level: mustardmast.FullLevel}
+	var a execute.Answer
 	if got := res.Header.Get(header.RequestID); got != sent.ID() || res.Header.Get(header.Outcome) == "" {
 		_ = res.Body.Close()
 		return a, fault.Newf(fault.PeerLost, "the response is for request %q", got)
@@ -110,7 +110,7 @@
 		a.Load = l
 	}
 	if n, err := strconv.Atoi(res.Header.Get(header.AdmissionLevel)); err == nil && n >= 0 && n <= call.Cohorts {
-		a.Level = mustardmast.Level(n)
+		a.Level, a.HasLevel = mustardmast.Level(n), true
 	}
 	left, _ := strconv.Atoi(res.Header.Get(header.RetryBudget)) // absent: nothing comes back
 	a.Retries = max(0, min(left, sent.Retries()))
--- a/io/peer/server.go
+++ b/io/peer/server.go
@@ -62,7 +62,9 @@
 		a, err := run.Execute(ctx, r, h)
 		alive.stop()
 		header.WriteLoad(w.Header(), a.Load)
-		w.Header().Set(header.AdmissionLevel, strconv.Itoa(int(a.Level)))
+		if a.HasLevel {
+			w.Header().Set(header.AdmissionLevel, strconv.Itoa(int(a.Level)))
+		}
 		w.Header().Set(header.RetryBudget, strconv.Itoa(a.Retries))
 		if err != nil {
 			header.WriteError(w, r.Call.ID(), err)
--- a/node/adapters.go
+++ b/node/adapters.go
@@ -4,12 +4,10 @@
 	"context"
 	"net/http"
 	"runtime/debug"
-	"time"
 
 	"go.uber.org/zap"
 
 	"mustardmast"
-	"mustardmast/core/call"
 	"mustardmast/core/fault"
 	"mustardmast/core/ledger"
 	"mustardmast/core/register"
@@ -57,13 +55,6 @@
 	return o.remote.Ask(ctx, executor, a)
 }
 
-// noLevels admits everything.
-type noLevels struct{}
-
-func (noLevels) Admit(time.Time, call.Call) bool               { return true }
-func (noLevels) Withheld(time.Time, call.Call) uint32          { return 0 }
-func (noLevels) Learn(time.Time, call.Call, mustardmast.Level) {}
-
 // recovery answers calls whose handler panicked. http.ErrAbortHandler goes on to net/http, which breaks the connection
 // so that a response cut short is not taken for a complete one.
 type recovery struct{ log *eventlog.Log }
--- a/node/cluster_test.go
+++ b/node/cluster_test.go
@@ -18,6 +18,7 @@
 	"mustardmast"
 	"mustardmast/core/call"
 	"mustardmast/core/config"
+	"mustardmast/core/quarantine"
 	"mustardmast/core/register"
 	"mustardmast/core/requestid"
 	"mustardmast/io/eventlog"
@@ -38,12 +39,13 @@
 }
 
 type host struct {
-	member mustardmast.Member
-	node   *node.Node
-	target *stub.Target
-	server *httptest.Server
-	url    string // caller address
-	at     target.Announcement
+	member     mustardmast.Member
+	node       *node.Node
+	quarantine *quarantine.Quarantine
+	target     *stub.Target
+	server     *httptest.Server
+	url        string // caller address
+	at         target.Announcement
 }
 
 func newCluster(t testing.TB, c config.Config) *cluster {
@@ -67,8 +69,10 @@
 		ID: mustardmast.NodeID(len(l.hosts) + 1), Name: service, FailureDomain: domain, Service: service, Slots: 100,
 		Address: netip.MustParseAddrPort(peers.Addr().String()), State: mustardmast.Ready,
 	}
+	h.quarantine = quarantine.New(h.member.ID)
 	h.node = node.New(node.Parts{
 		Self: h.member, Timers: l.timers, Members: l, Configs: l, Log: eventlog.New(zap.NewNop()), Seed: 1,
+		Quarantine: h.quarantine, Teller: l,
 		Register: register.New(h.member.ID, time.Now(), requestid.DefaultWindow, register.DefaultLimits),
 	})
 	h.node.Start(callers, peers)
@@ -110,6 +114,15 @@
 	return mustardmast.Member{}, false
 }
 
+// Tell implements execute.Teller: news reach every node at once.
+func (l *cluster) Tell(_ context.Context, _ string, news []quarantine.News) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, h := range l.hosts {
+		h.quarantine.Merge(time.Now(), news)
+	}
+}
+
 // Current implements caller.Configs.
 func (l *cluster) Current() (config.Config, uint64, bool) { return l.config, 1, true }
 
--- a/node/node.go
+++ b/node/node.go
@@ -22,9 +22,12 @@
 	"mustardmast/core/config"
 	"mustardmast/core/fault"
 	"mustardmast/core/ledger"
+	"mustardmast/core/level"
+	"mustardmast/core/quarantine"
 	"mustardmast/core/register"
 	"mustardmast/core/requestid"
 	"mustardmast/core/retry"
+	"mustardmast/core/trace"
 	"mustardmast/io/caller"
 	"mustardmast/io/dispatch"
 	"mustardmast/io/eventlog"
@@ -44,15 +47,17 @@
 
 // Parts are what a Node is built from.
 type Parts struct {
-	Self     mustardmast.Member // its ID must be random and new for each process
-	Timers   mustardmast.Timers
-	Members  mustardmast.Directory
-	Configs  caller.Configs
-	Register *register.Register // shared with the control service, which answers for it
-	Asker    dispatch.Outcomes  // asks other nodes what became of an attempt
-	Log      *eventlog.Log
-	Key      requestid.Key // secret of this process, random
-	Seed     uint64        // of the random choices
+	Self       mustardmast.Member // its ID must be random and new for each process
+	Timers     mustardmast.Timers
+	Members    mustardmast.Directory
+	Configs    caller.Configs
+	Register   *register.Register     // shared with the control service, which answers for it
+	Quarantine *quarantine.Quarantine // shared with the control service, which spreads it
+	Teller     execute.Teller         // tells other nodes of a crash
+	Asker      dispatch.Outcomes      // asks other nodes what became of an attempt
+	Log        *eventlog.Log
+	Key        requestid.Key // secret of this process, random
+	Seed       uint64        // of the random choices
 }
 
 // Node is the data path of one node.
@@ -65,6 +70,8 @@
 	register   *register.Register
 	ledger     *ledger.Ledger
 	running    *execute.Running
+	trace      *trace.Trace
+	levels     *level.Table
 	targets    *target.Client
 	peers      *peer.Client
 	callerMux  *http.ServeMux
@@ -79,29 +86,39 @@
 func New(p Parts) *Node {
 	now := p.Timers.Now()
 	n := &Node{
-		parts: p, local: &target.Local{}, running: execute.NewRunning(), targets: target.NewClient(), peers: peer.NewClient(p.Timers, p.Self.Address.Addr().AsSlice()),
+		parts: p, local: &target.Local{}, running: execute.NewRunning(), trace: trace.New(), levels: level.New(level.Spec{}), targets: target.NewClient(), peers: peer.NewClient(p.Timers, p.Self.Address.Addr().AsSlice()),
 		admit:     admit.New(admit.Spec{Slots: initialSlots}),
 		register:  p.Register,
 		callerMux: http.NewServeMux(), peerMux: http.NewServeMux(),
 	}
 	issuer := requestid.New(p.Self.ID, p.Key, now, requestid.DefaultWindow)
 	n.ledger = ledger.New(issuer, ledger.DefaultLimits)
-	n.executor = execute.New(p.Self.ID, p.Timers, n.admit, n.local, n.targets, n.running, n.register)
+	below := level.NewBelow()
+	n.executor = execute.New(execute.Parts{
+		Self: p.Self, Clock: p.Timers, Members: p.Members, Admitter: n.admit, Local: n.local, Sender: n.targets,
+		Running: n.running, Register: n.register, Quarantine: p.Quarantine, Teller: p.Teller, Levels: n.levels, Below: below,
+		Crashed: func(service string, inFlight int) {
+			p.Log.Write(eventlog.TargetCrashed, zap.String("service", service), zap.Int("in-flight", inFlight))
+		},
+	})
 	n.dispatcher = dispatch.New(dispatch.Parts{
 		Self: p.Self, Clock: p.Timers, Members: p.Members,
 		Picker: balance.New(balance.Own{ID: p.Self.ID, FailureDomain: p.Self.FailureDomain}, p.Seed, balance.Defaults()),
 		Policy: retry.NewPolicy(retry.NewRatio(retry.DefaultRatio()), retry.NewBackoff(p.Seed+1, retry.DefaultBase, retry.DefaultMost)),
-		Levels: noLevels{}, Issuer: issuer, Ledger: n.ledger, Peers: n.peers, Local: n.executor,
+		Levels: n.levels, Quarantine: p.Quarantine, Trace: n.trace, Issuer: issuer, Ledger: n.ledger, Peers: n.peers, Local: n.executor,
 		Outcomes: outcomes{self: p.Self.ID, clock: p.Timers, register: n.register, remote: p.Asker},
 	})
-	caller.New(p.Timers, p.Configs, ids{issuer: issuer, clock: p.Timers}, n.dispatcher, n.running, n.refusal).Mount(n.callerMux)
+	caller.New(p.Timers, p.Configs, ids{issuer: issuer, clock: p.Timers}, n.dispatcher, n.running, below, n.refusal).Mount(n.callerMux)
 	peer.NewServer(p.Timers, n.executor, n.dispatcher).Mount(n.peerMux)
 	n.local.Watch(n.targetChanged)
 	return n
 }
 
 // SetConfig takes what the admission needs of a new configuration.
-func (n *Node) SetConfig(c config.Config) { n.admit.SetBackers(n.parts.Timers.Now(), c.Backers()) }
+func (n *Node) SetConfig(c config.Config) {
+	n.admit.SetBackers(n.parts.Timers.Now(), c.Backers())
+	n.levels.SetBackers(c.Backers())
+}
 
 // Local returns the target of this host, for announcements.
 func (n *Node) Local() *target.Local { return n.local }
@@ -115,9 +132,11 @@
 	n.serve(peers, n.peerMux)
 	n.every(admitPeriod, n.executor.Tick)
 	n.every(outbound.CheckPeriod, n.peers.Check)
+	p := n.parts
 	n.every(tablePeriod, func(now time.Time) {
 		n.ledger.Tick(now)
 		n.register.Tick(now)
+		p.Quarantine.Tick(now)
 		n.local.Check(now)
 	})
 }
