daemon, cmd: admin ports, metrics, the whole command line, and the demo

The demo runs six nodes in two failure domains, their targets and the platform stand-in as separate processes, applies the text by the command line, kills a node, changes the configuration and stops a node as planned; executions are counted at the targets.

--- a/Makefile
+++ b/Makefile
@@ -12,6 +12,9 @@
 measure:
 	$(GO) run ./cmd/measure
 
+demo: build
+	bin/demo
+
 generate:
 	@if [ -d proto ]; then PATH="$$(.ci/tools):$$PATH" buf generate; fi
 	@PATH="$$(.ci/tools):$$PATH" $(GO) generate ./...
--- a/cmd/demo/deployment.go
+++ b/cmd/demo/deployment.go
@@ -100,7 +100,13 @@
 }
 
 func (d *deployment) apply(file, expected, why string) error {
-	_, err := d.cli("apply", "--platform", d.platform, "--expected", expected, "--who", "demo", "--why", why, file)
+	args := []string{"apply", "--platform", d.platform, "--expect", expected, "--who", "demo", "--why", why}
+	if expected == "0" {
+		args = append(args, "--no-fleet")
+	} else {
+		args = append(args, "--node", d.hosts[0].admin)
+	}
+	_, err := d.cli(append(args, file)...)
 	return err
 }
 
@@ -139,7 +145,7 @@
 			if h.gone {
 				continue
 			}
-			out, err := d.cli("status", "--node", "http://"+h.admin, "--output", "json")
+			out, err := d.cli("status", "--node", h.admin, "--output", "json")
 			if err != nil {
 				return err
 			}
--- a/cmd/mustardmast/main.go
+++ b/cmd/mustardmast/main.go
@@ -3,17 +3,29 @@
 
 import (
 	"context"
+	"crypto/rand"
+	"encoding/hex"
 	"fmt"
 	"os"
 	"os/signal"
+	"os/user"
+	"runtime/debug"
 	"syscall"
 
 	"github.com/jessevdk/go-flags"
 
+	"mustardmast"
 	"mustardmast/daemon"
+	"mustardmast/io/cli"
+	"mustardmast/io/operator"
+	"mustardmast/io/platform"
 	"mustardmast/io/settings"
+	"mustardmast/io/tick"
 )
 
+// version is set by the build with -ldflags.
+var version = ""
+
 // nodeCommand runs a node.
 type nodeCommand struct {
 	Settings string `long:"settings" required:"true" value-name:"FILE" description:"JSON file with the settings of this process"`
@@ -34,17 +46,63 @@
 	return d.Run(ctx)
 }
 
+// globals are the options without a command.
+type globals struct {
+	Version func() `long:"version" description:"print the version and exit"`
+}
+
 func main() {
-	p := flags.NewNamedParser("mustardmast", flags.HelpFlag|flags.PassDoubleDash)
-	if _, err := p.AddCommand("node", "Run a node", "Runs the node of this host until SIGTERM, then stops gracefully.", &nodeCommand{}); err != nil {
-		panic(err)
-	}
-	if _, err := p.Parse(); err != nil {
-		if flags.WroteHelp(err) {
-			fmt.Println(err)
-			return
-		}
-		fmt.Fprintln(os.Stderr, "mustardmast:", err)
-		os.Exit(1)
+	os.Exit(run(os.Args[1:]))
+}
+
+func run(args []string) int {
+	t := tick.New()
+	defer t.Close()
+	env := environment(t)
+	g := globals{Version: func() {
+		fmt.Println("mustardmast", versionText())
+		os.Exit(cli.Done)
+	}}
+	p := flags.NewParser(&g, flags.HelpFlag|flags.PassDoubleDash)
+	_, err := p.AddCommand("node", "Run a node",
+		"Runs the node of this host until SIGTERM. Then it refuses new calls, finishes those in flight within the drain timeout, and ends.",
+		&nodeCommand{})
+	if err == nil {
+		err = cli.Add(p, env)
+	}
+	if err == nil {
+		_, err = p.ParseArgs(args)
+	}
+	return cli.Finish(env, err)
+}
+
+func environment(t *tick.Service) cli.Env {
+	e := cli.Env{
+		Out: os.Stdout, Err: os.Stderr, In: os.Stdin, Clock: t, NewID: newID,
+		Platform: func(url string) (mustardmast.Platform, error) { return platform.New(platform.Settings{URL: url}) },
+		Node: func(address string) (*operator.Client, error) {
+			return operator.NewClient(address, operator.DefaultTimeout)
+		},
+	}
+	if u, err := user.Current(); err == nil {
+		e.User = u.Username
+	}
+	return e
+}
+
+// newID returns a change id. Random, because operators share nothing that could count.
+func newID() string {
+	b := make([]byte, 12)
+	_, _ = rand.Read(b) // crypto/rand never fails
+	return hex.EncodeToString(b)
+}
+
+func versionText() string {
+	if version != "" {
+		return version
+	}
+	if i, ok := debug.ReadBuildInfo(); ok && i.Main.Version != "" {
+		return i.Main.Version
 	}
+	return "unknown"
 }
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -13,6 +13,8 @@
 
 	"mustardmast"
 	"mustardmast/core/fault"
+	"mustardmast/core/member"
+	"mustardmast/core/quarantine"
 	"mustardmast/io/control"
 	"mustardmast/io/eventlog"
 	"mustardmast/io/settings"
@@ -24,19 +26,23 @@
 // leaveGossip is how long a node goes on after it has declared that it left, so that some peers hear of it.
 const leaveGossip = 300 * time.Millisecond
 
+// digestPeriod is how often the digest of datagrams changes, as often as a node pings.
+const digestPeriod = time.Second
+
 // Daemon is one node process.
 type Daemon struct {
-	settings settings.Settings
-	timers   *tick.Service
-	control  *control.Control
-	node     *node.Node
-	admin    http.Handler
-	log      *eventlog.Log
+	settings   settings.Settings
+	timers     *tick.Service
+	control    *control.Control
+	node       *node.Node
+	quarantine *quarantine.Quarantine
+	admin      http.Handler
+	log        *eventlog.Log
 }
 
 // New returns a daemon that does not listen yet.
-func New(s settings.Settings, t *tick.Service, c *control.Control, n *node.Node, admin http.Handler, l *eventlog.Log) *Daemon {
-	return &Daemon{settings: s, timers: t, control: c, node: n, admin: admin, log: l}
+func New(s settings.Settings, t *tick.Service, c *control.Control, n *node.Node, q *quarantine.Quarantine, admin http.Handler, l *eventlog.Log) *Daemon {
+	return &Daemon{settings: s, timers: t, control: c, node: n, quarantine: q, admin: admin, log: l}
 }
 
 // Run serves until ctx ends, then makes a planned stop: new work is refused as not executed, and work in flight is
@@ -60,6 +66,9 @@
 	admin := &http.Server{Handler: d.admin, ReadHeaderTimeout: 10 * time.Second}
 	go func() { _ = admin.Serve(admins) }()
 	d.control.Start()
+	d.timers.Every(digestPeriod, func(now time.Time) {
+		d.control.SetDigest(control.EncodeDigest(d.quarantine.Digest(now, member.MaxDigest)))
+	})
 	d.log.Write(eventlog.Started, zap.Stringer("caller-address", callers.Addr()), zap.Stringer("peer-address", peers.Addr()),
 		zap.Stringer("admin-address", admins.Addr()))
 	<-ctx.Done()
--- a/daemon/providers.go
+++ b/daemon/providers.go
@@ -18,6 +18,7 @@
 	"mustardmast/core/quarantine"
 	"mustardmast/core/register"
 	"mustardmast/core/requestid"
+	"mustardmast/core/rollout"
 	"mustardmast/io/control"
 	"mustardmast/io/eventlog"
 	"mustardmast/io/platform"
@@ -83,7 +84,7 @@
 
 func newControl(
 	s settings.Settings, i identity, self mustardmast.Member, p mustardmast.Platform, t *tick.Service,
-	configs *node.Configs, r *register.Register, q *quarantine.Quarantine, z *zap.Logger, l *eventlog.Log,
+	configs *node.Configs, a *alarms, r *register.Register, q *quarantine.Quarantine, z *zap.Logger, l *eventlog.Log,
 ) (*control.Control, error) {
 	return control.New(control.Settings{
 		Self: self, Seeds: s.Seeds(), Platform: p, Timers: t, Decode: decode,
@@ -97,6 +98,7 @@
 		},
 		Outcomes:   registerOutcomes{register: r, clock: t},
 		Quarantine: q,
+		OnAlarm:    func(m rollout.Alarm) { a.raise(l, m) },
 		OnDigest:   func(_ mustardmast.NodeID, digest []byte) { q.Merge(t.Now(), control.DecodeDigest(digest)) },
 		Wanted:     func() []string { return wanted(configs) },
 		Rand:       rand.New(rand.NewPCG(i.seed, 2)),
--- a/daemon/wire.go
+++ b/daemon/wire.go
@@ -19,7 +19,8 @@
 	wire.Build(
 		newIdentity, newMember, newLogger, eventlog.New, tick.New, metrics.NewSet, newPlatform,
 		wire.Bind(new(mustardmast.Platform), new(*platform.Client)),
-		newRegister, newQuarantine, wire.Struct(new(node.Configs)), newControl, newNode, newAdmin, New,
+		newRegister, newQuarantine, wire.Struct(new(node.Configs)), wire.Struct(new(alarms)), newControl,
+		newNode, newPorts, newAdmin, New,
 	)
 	return nil, nil
 }
--- a/daemon/wire_gen.go
+++ b/daemon/wire_gen.go
@@ -30,6 +30,7 @@
 		return nil, err
 	}
 	configs := &node.Configs{}
+	daemonAlarms := &alarms{}
 	register := newRegister(daemonIdentity, service)
 	quarantine := newQuarantine(daemonIdentity)
 	logger, err := newLogger(s)
@@ -37,12 +38,13 @@
 		return nil, err
 	}
 	log := eventlog.New(logger)
-	control, err := newControl(s, daemonIdentity, member, client, service, configs, register, quarantine, logger, log)
+	control, err := newControl(s, daemonIdentity, member, client, service, configs, daemonAlarms, register, quarantine, logger, log)
 	if err != nil {
 		return nil, err
 	}
 	nodeNode := newNode(member, daemonIdentity, service, control, configs, register, quarantine, log)
-	handler := newAdmin(nodeNode, service)
-	daemon := New(s, service, control, nodeNode, handler, log)
+	daemonPorts := newPorts(member, service, control, configs, nodeNode, quarantine, daemonAlarms, log)
+	handler := newAdmin(daemonPorts, set)
+	daemon := New(s, service, control, nodeNode, quarantine, handler, log)
 	return daemon, nil
 }
--- a/io/control/configure.go
+++ b/io/control/configure.go
@@ -121,6 +121,9 @@
 		}
 		return nil
 	})
+	if alarm.Kind != 0 && c.s.OnAlarm != nil {
+		c.s.OnAlarm(alarm)
+	}
 	if alarm.Kind != 0 {
 		c.s.Log.Error("configuration alarm", zap.Stringer("alarm", alarm.Kind), zap.Stringer("source", s),
 			zap.Uint64("seen-generation", alarm.Seen.Generation), zap.String("seen-change", alarm.Seen.ChangeID),
--- a/io/control/control.go
+++ b/io/control/control.go
@@ -58,6 +58,7 @@
 	Wanted     func() []string // services that this node calls; their members are pulled first
 	OnDigest   func(from mustardmast.NodeID, digest []byte)
 	OnChange   func(member.Change)
+	OnAlarm    func(rollout.Alarm)
 	Rand       *rand.Rand
 	Log        *zap.Logger
 	Client     *http.Client // for control calls; nil makes one that speaks unencrypted HTTP/2
--- a/io/dispatch/dispatch.go
+++ b/io/dispatch/dispatch.go
@@ -7,6 +7,7 @@
 
 import (
 	"context"
+	"strconv"
 
 	"mustardmast"
 	"mustardmast/core/call"
@@ -67,7 +68,9 @@
 	d.note(r.Call, "entered", r.Call.Service()+"/"+r.Call.Method())
 	a, err := d.dispatch(ctx, r)
 	if err != nil {
-		d.note(r.Call, "failed", err.Error())
+		d.note(r.Call, fault.From(err).Outcome().String(), err.Error())
+	} else {
+		d.note(r.Call, fault.Executed.String(), strconv.Itoa(a.Response.Status))
 	}
 	return a, err
 }
--- a/node/node.go
+++ b/node/node.go
@@ -19,6 +19,7 @@
 	"mustardmast"
 	"mustardmast/core/admit"
 	"mustardmast/core/balance"
+	"mustardmast/core/call"
 	"mustardmast/core/config"
 	"mustardmast/core/fault"
 	"mustardmast/core/ledger"
@@ -220,3 +221,20 @@
 		n.admit.SetSlots(a.Slots)
 	}
 }
+
+// Load returns the figures of the admission.
+func (n *Node) Load(now time.Time) mustardmast.Load { return n.admit.Load(now) }
+
+// LevelFor returns the admission level of this target for one priority and backer.
+func (n *Node) LevelFor(now time.Time, p call.Priority, backer string) mustardmast.Level {
+	return n.admit.LevelFor(now, p, backer)
+}
+
+// Steps returns what this node remembers of a request.
+func (n *Node) Steps(id string) []trace.Step { return n.trace.Steps(id) }
+
+// LedgerLen returns the number of requests that this node owns and remembers.
+func (n *Node) LedgerLen() int { return n.ledger.Len() }
+
+// RegisterLen returns the number of attempts that this node remembers.
+func (n *Node) RegisterLen() int { return n.register.Len() }
