--- a/Makefile
+++ b/Makefile
@@ -17,7 +17,7 @@
 
 generate:
 	@if [ -d proto ]; then PATH="$$(.ci/tools):$$PATH" buf generate; fi
-	@PATH="$$(.ci/tools):$$PATH" $(GO) generate ./...
+	@cd daemon && PATH="$$(../.ci/tools):$$PATH" wire gen . 2>&1 | grep -v wrote || true
 
 fmt:
 	PATH="$$(.ci/tools):$$PATH" golangci-lint fmt
--- a/cmd/demo/main.go
+++ b/cmd/demo/main.go
@@ -1,17 +1,24 @@
 // Command demo runs a small deployment as separate processes and shows what callers see: the platform stand-in, two
-// failure domains with three nodes each, the targets of a chain of three services, a change of the configuration, and a
-// killed node.
+// failure domains with three nodes each, the targets of a chain of three services, a killed node, a change of the
+// configuration, and a planned stop.
 package main
 
 import (
 	"fmt"
+	"net/http"
 	"os"
+	"path/filepath"
+	"strings"
 	"time"
 
 	"github.com/jessevdk/go-flags"
 	"github.com/pkg/errors"
+
+	"mustardmast/internal/deploy"
 )
 
+const callsPerStep = 200
+
 type options struct {
 	Bin    string `long:"bin" default:"bin" description:"directory of the built programs"`
 	Config string `long:"config" default:"examples/koper.json" description:"configuration text to apply"`
@@ -42,19 +49,31 @@
 	fmt.Println("demo: ok")
 }
 
+// demo is the deployment and what its callers were told.
+type demo struct {
+	*deploy.Deployment
+	o        options
+	dir      string
+	accepted map[string]bool // request ids that were answered as executed
+}
+
 func run(o options, dir string) error {
-	d := &deployment{processes: &processes{bin: o.Bin, dir: dir}, dir: dir}
-	defer d.processes.end()
-	if err := d.start(); err != nil {
+	dep, err := deploy.Start(deploy.Spec{
+		Bin: o.Bin, Dir: dir, Delay: 2 * time.Millisecond,
+		Domains: []deploy.Domain{{Name: "koper-a", IP: "127.0.0.1"}, {Name: "koper-b", IP: "127.0.0.1"}},
+	})
+	defer dep.End()
+	if err != nil {
 		return err
 	}
-	fmt.Println("step                                  calls  ok  refused  unknown  p50      p99")
-	if err := d.apply(o.Config, "0", "first configuration"); err != nil {
+	d := &demo{Deployment: dep, o: o, dir: dir, accepted: map[string]bool{}}
+	if err := d.Apply(o.Config, 0, "first configuration"); err != nil {
 		return err
 	}
-	if err := d.awaitServing(20 * time.Second); err != nil {
+	if err := d.AwaitServing(20 * time.Second); err != nil {
 		return err
 	}
+	fmt.Println("step                                  calls  ok  refused  unknown  p50      p99")
 	steps := []struct {
 		name string
 		do   func() error
@@ -62,18 +81,91 @@
 	}{
 		{"all nodes up", func() error { return nil }, 1},
 		{"one node killed", d.killNode, 0.9},
-		{"configuration changed", func() error { return d.applyChange(o.Config) }, 1},
+		{"configuration changed", d.change, 1},
 		{"one node stopped as planned", d.stopNode, 1},
 	}
 	for _, s := range steps {
 		if err := s.do(); err != nil {
 			return errors.Wrap(err, s.name)
 		}
-		r := d.load(200)
+		r := d.load()
 		fmt.Printf("%-36s %s\n", s.name, r)
-		if float64(r.ok) < s.ok*float64(r.calls) {
-			return errors.Errorf("%s: %d of %d calls succeeded; at least %.0f%% must", s.name, r.ok, r.calls, 100*s.ok)
+		if float64(r.OK) < s.ok*float64(r.Calls) {
+			return errors.Errorf("%s: %d of %d calls succeeded; at least %.0f%% must", s.name, r.OK, r.Calls, 100*s.ok)
+		}
+	}
+	return d.check()
+}
+
+// load sends calls through the nodes that are up, one after the other.
+func (d *demo) load() *deploy.Result {
+	var up []*deploy.Host
+	for _, h := range d.Hosts() {
+		if !h.Gone() {
+			up = append(up, h)
+		}
+	}
+	r := &deploy.Result{}
+	for i := range callsPerStep {
+		s := deploy.Call(up[i%len(up)].Caller, "/socket-board/assign", "container 7", nil)
+		r.Add(s)
+		if s.Status == http.StatusOK {
+			d.accepted[s.ID] = true
+		}
+	}
+	return r
+}
+
+func (d *demo) killNode() error {
+	h := d.Host("koper-b", "reefer-watch")
+	h.Node.Kill()
+	h.SetGone()
+	return nil
+}
+
+func (d *demo) stopNode() error {
+	h := d.Host("koper-b", "plug-ledger")
+	h.SetGone()
+	if code := h.Node.Stop(); code != 0 {
+		return errors.Errorf("%s ended with exit code %d", h.Name, code)
+	}
+	return nil
+}
+
+// change raises the priority of one method and waits until every node has it in force.
+func (d *demo) change() error {
+	b, err := os.ReadFile(d.o.Config)
+	if err != nil {
+		return err
+	}
+	file := filepath.Join(d.dir, "changed.json")
+	text := strings.Replace(string(b), `"priority": "low"`, `"priority": "normal"`, 1)
+	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
+		return err
+	}
+	if err := d.Apply(file, 1, "lists matter more"); err != nil {
+		return err
+	}
+	return d.AwaitGeneration(2, 8*time.Second)
+}
+
+// check compares what callers were told with what the targets counted.
+func (d *demo) check() error {
+	for _, service := range []string{"socket-board", "plug-ledger"} {
+		ran, err := d.Executions(service)
+		if err != nil {
+			return err
+		}
+		for id, n := range ran {
+			if n > 1 {
+				return errors.Errorf("%s ran request %s %d times", service, id, n)
+			}
+		}
+		for id := range d.accepted {
+			if service == "socket-board" && ran[id] != 1 {
+				return errors.Errorf("request %s was answered as executed and ran %d times", id, ran[id])
+			}
 		}
 	}
-	return d.checkExecutions()
+	return nil
 }
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -52,7 +52,7 @@
 	if err != nil {
 		return errors.Wrap(err, "caller address")
 	}
-	peers, err := net.Listen("tcp", d.settings.PeerAddress().String())
+	peers, err := net.Listen("tcp", d.settings.PeerListenAddress().String())
 	if err != nil {
 		return errors.Wrap(err, "peer address")
 	}
--- a/daemon/providers.go
+++ b/daemon/providers.go
@@ -5,6 +5,8 @@
 	crand "crypto/rand"
 	"encoding/binary"
 	"math/rand/v2"
+	"net"
+	"net/http"
 	"sync"
 	"time"
 
@@ -87,7 +89,7 @@
 	configs *node.Configs, a *alarms, r *register.Register, q *quarantine.Quarantine, z *zap.Logger, l *eventlog.Log,
 ) (*control.Control, error) {
 	return control.New(control.Settings{
-		Self: self, Seeds: s.Seeds(), Platform: p, Timers: t, Decode: decode,
+		Self: self, Listen: s.PeerListenAddress(), Seeds: s.Seeds(), Platform: p, Timers: t, Decode: decode,
 		Install: func(generation uint64, changeID string, text []byte) error {
 			if err := configs.Install(generation, changeID, text); err != nil {
 				l.Write(eventlog.ConfigRejected, zap.Uint64("generation", generation), zap.Error(err))
@@ -98,6 +100,7 @@
 		},
 		Outcomes:   registerOutcomes{register: r, clock: t},
 		Quarantine: q,
+		Client:     controlClient(s),
 		OnAlarm:    func(m rollout.Alarm) { a.raise(l, m) },
 		OnDigest:   func(_ mustardmast.NodeID, digest []byte) { q.Merge(t.Now(), control.DecodeDigest(digest)) },
 		Wanted:     func() []string { return wanted(configs) },
@@ -106,6 +109,20 @@
 	})
 }
 
+// controlClient opens its connections from the node's own address, like the data path.
+func controlClient(s settings.Settings) *http.Client {
+	var p http.Protocols
+	p.SetUnencryptedHTTP2(true)
+	d := &net.Dialer{Timeout: askTimeout}
+	if ip := s.LocalIP(); ip != nil {
+		d.LocalAddr = &net.TCPAddr{IP: ip}
+	}
+	return &http.Client{
+		Timeout:   controlTimeout,
+		Transport: &http.Transport{Protocols: &p, DialContext: d.DialContext, IdleConnTimeout: controlIdle},
+	}
+}
+
 // decode reads the stored configuration for the control service.
 func decode(value []byte) (generation uint64, changeID string, text []byte, err error) {
 	s, err := store.Decode(value)
@@ -127,12 +144,12 @@
 }
 
 func newNode(
-	self mustardmast.Member, i identity, t *tick.Service, c *control.Control, configs *node.Configs,
+	s settings.Settings, self mustardmast.Member, i identity, t *tick.Service, c *control.Control, configs *node.Configs,
 	r *register.Register, q *quarantine.Quarantine, l *eventlog.Log,
 ) *node.Node {
 	n := node.New(node.Parts{
 		Self: self, Timers: t, Members: c.Members(), Configs: &gate{configs: configs, control: c, clock: t}, Register: r,
-		Quarantine: q, Teller: teller{control: c}, Asker: asker{control: c}, Log: l, Key: i.key, Seed: i.seed,
+		Quarantine: q, Teller: teller{control: c}, Asker: asker{control: c}, Log: l, Key: i.key, Seed: i.seed, LocalIP: s.LocalIP(),
 	})
 	configs.Watch(n.SetConfig)
 	return n
@@ -179,6 +196,11 @@
 // askTimeout bounds one question. The caller waits for it, and a resend can ask again.
 const askTimeout = time.Second
 
+const (
+	controlTimeout = 5 * time.Second
+	controlIdle    = 30 * time.Second
+)
+
 // asker asks other nodes what became of an attempt.
 type asker struct{ control *control.Control }
 
--- a/daemon/wire_gen.go
+++ b/daemon/wire_gen.go
@@ -42,7 +42,7 @@
 	if err != nil {
 		return nil, err
 	}
-	nodeNode := newNode(member, daemonIdentity, service, control, configs, register, quarantine, log)
+	nodeNode := newNode(s, member, daemonIdentity, service, control, configs, register, quarantine, log)
 	daemonPorts := newPorts(member, service, control, configs, nodeNode, quarantine, daemonAlarms, log)
 	handler := newAdmin(daemonPorts, set)
 	daemon := New(s, service, control, nodeNode, quarantine, handler, log)
--- /dev/null
+++ b/internal/deploy/calls.go
@@ -0,0 +1,81 @@
+package deploy
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"sort"
+	"strings"
+	"time"
+
+	"mustardmast/io/header"
+)
+
+// Seen is what a caller saw of one call.
+type Seen struct {
+	Status  int
+	Outcome string
+	Kind    string
+	ID      string
+	Text    string
+	Took    time.Duration
+}
+
+// Call sends one call to a node. Heads are added to the request.
+func Call(node, path, body string, heads http.Header) Seen {
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	start := time.Now()
+	q, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+node+path, strings.NewReader(body))
+	if err != nil {
+		return Seen{Text: err.Error()}
+	}
+	for k, v := range heads {
+		q.Header[k] = v
+	}
+	q.Header.Set(header.Backer, "adria-line")
+	res, err := http.DefaultClient.Do(q)
+	if err != nil {
+		return Seen{Outcome: "unknown", Text: err.Error(), Took: time.Since(start)}
+	}
+	defer func() { _ = res.Body.Close() }()
+	b, err := io.ReadAll(res.Body)
+	s := Seen{
+		Status: res.StatusCode, Outcome: res.Header.Get(header.Outcome), Kind: res.Header.Get(header.Error),
+		ID: res.Header.Get(header.RequestID), Text: strings.TrimSpace(string(b)), Took: time.Since(start),
+	}
+	if err != nil {
+		s.Status, s.Outcome = 0, "unknown"
+	}
+	return s
+}
+
+// Result sums what callers saw.
+type Result struct {
+	Calls, OK, Refused, Unknown int
+	took                        []time.Duration
+}
+
+// Add counts one call.
+func (r *Result) Add(s Seen) {
+	r.Calls++
+	r.took = append(r.took, s.Took)
+	switch {
+	case s.Status == http.StatusOK:
+		r.OK++
+	case s.Outcome == "not-executed":
+		r.Refused++
+	default:
+		r.Unknown++
+	}
+}
+
+// String returns the figures as a row of the demo's table.
+func (r *Result) String() string {
+	sort.Slice(r.took, func(i, j int) bool { return r.took[i] < r.took[j] })
+	at := func(q float64) time.Duration {
+		return r.took[int(q*float64(len(r.took)-1))].Round(10 * time.Microsecond)
+	}
+	return fmt.Sprintf("%6d %3d  %7d  %7d  %-8s %s", r.Calls, r.OK, r.Refused, r.Unknown, at(0.5), at(0.99))
+}
--- a/cmd/demo/process.go
+++ b/internal/deploy/process.go
@@ -1,4 +1,4 @@
-package main
+package deploy
 
 import (
 	"bufio"
@@ -15,93 +15,112 @@
 	"github.com/pkg/errors"
 )
 
-// processes are the children of the demo. All are ended when it ends.
-type processes struct {
-	bin  string
-	dir  string
-	mu   sync.Mutex
-	list []*process
-}
+const (
+	firstLineWait = 10 * time.Second
+	stopWait      = 15 * time.Second
+)
 
-type process struct {
+// Process is one child process.
+type Process struct {
 	name string
 	cmd  *exec.Cmd
 	log  *os.File
 	done chan struct{}
 }
 
-// start runs a program of the bin directory with its output in a file, and returns the first line that it prints.
-func (p *processes) start(name, program string, args ...string) (*process, string, error) {
+// processes are the children of a deployment.
+type processes struct {
+	bin, dir string
+	mu       sync.Mutex
+	list     []*Process
+}
+
+// start runs a program of the bin directory with its output in a file. If it prints, the first line is returned.
+func (p *processes) start(name, program string, prints bool, args ...string) (*Process, string, error) {
 	log, err := os.Create(filepath.Join(p.dir, name+".log"))
 	if err != nil {
-		return nil, "", err
+		return nil, "", errors.Wrap(err, "log file")
 	}
 	c := exec.Command(filepath.Join(p.bin, program), args...)
 	c.Stderr = log
 	out, err := c.StdoutPipe()
 	if err != nil {
-		return nil, "", err
+		return nil, "", errors.Wrap(err, "pipe")
 	}
 	if err := c.Start(); err != nil {
 		return nil, "", errors.Wrapf(err, "start %s", program)
 	}
-	x := &process{name: name, cmd: c, log: log, done: make(chan struct{})}
+	x := &Process{name: name, cmd: c, log: log, done: make(chan struct{})}
 	p.mu.Lock()
 	p.list = append(p.list, x)
 	p.mu.Unlock()
 	first := make(chan string, 1)
 	go func() {
 		r := bufio.NewReader(out)
-		line, _ := r.ReadString('\n')
+		line, _ := r.ReadString('\n') // a process that ends early has printed nothing
 		first <- strings.TrimSpace(line)
 		_, _ = io.Copy(log, r)
 		_ = c.Wait()
 		close(x.done)
 	}()
-	if program == "mustardmast" {
-		return x, "", nil // a node prints nothing
+	if !prints {
+		return x, "", nil
 	}
 	select {
 	case line := <-first:
 		return x, line, nil
-	case <-time.After(10 * time.Second):
+	case <-time.After(firstLineWait):
 		return nil, "", errors.Errorf("%s printed nothing", name)
 	}
 }
 
-// kill ends a process at once.
-func (x *process) kill() {
+// Kill ends the process at once.
+func (x *Process) Kill() {
 	_ = x.cmd.Process.Signal(syscall.SIGKILL)
 	<-x.done
 }
 
-// stop asks a process to stop and returns its exit code.
-func (x *process) stop() int {
+// Freeze pauses the process; Thaw lets it go on.
+func (x *Process) Freeze() { _ = x.cmd.Process.Signal(syscall.SIGSTOP) }
+
+// Thaw ends a Freeze.
+func (x *Process) Thaw() { _ = x.cmd.Process.Signal(syscall.SIGCONT) }
+
+// Stop asks the process to stop and returns its exit code.
+func (x *Process) Stop() int {
 	_ = x.cmd.Process.Signal(syscall.SIGTERM)
 	select {
 	case <-x.done:
-	case <-time.After(15 * time.Second):
-		x.kill()
+	case <-time.After(stopWait):
+		x.Kill()
 	}
 	return x.cmd.ProcessState.ExitCode()
 }
 
+// Ended reports whether the process has ended.
+func (x *Process) Ended() bool {
+	select {
+	case <-x.done:
+		return true
+	default:
+		return false
+	}
+}
+
 // end kills whatever still runs.
 func (p *processes) end() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, x := range p.list {
-		select {
-		case <-x.done:
-		default:
-			x.kill()
+		if !x.Ended() {
+			x.Kill()
 		}
 		_ = x.log.Close()
 	}
 }
 
-// freePorts returns n loopback addresses whose ports were free a moment ago.
-func freePorts(n int) ([]string, error) {
+// freePorts returns n ports that were free on ip a moment ago.
+func freePorts(ip string, n int) ([]string, error) {
 	var ls []net.Listener
 	defer func() {
 		for _, l := range ls {
@@ -110,9 +129,9 @@
 	}()
 	addrs := make([]string, n)
 	for i := range addrs {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
+		l, err := net.Listen("tcp", ip+":0")
 		if err != nil {
-			return nil, err
+			return nil, errors.Wrap(err, "free port")
 		}
 		ls = append(ls, l)
 		addrs[i] = l.Addr().String()
--- a/io/control/control.go
+++ b/io/control/control.go
@@ -48,6 +48,7 @@
 // nil.
 type Settings struct {
 	Self       mustardmast.Member
+	Listen     netip.AddrPort // where to listen, if it differs from the address of Self
 	Seeds      []netip.AddrPort
 	Platform   mustardmast.Platform
 	Timers     mustardmast.Timers
@@ -91,6 +92,13 @@
 	conflictAt time.Time
 }
 
+func (s *Settings) listen() netip.AddrPort {
+	if s.Listen.IsValid() {
+		return s.Listen
+	}
+	return s.Self.Address
+}
+
 // New opens the UDP socket on the peer address and returns a control plane that has not started.
 func New(s Settings) (*Control, error) {
 	for _, text := range []string{s.Self.Name, s.Self.FailureDomain, s.Self.Region, s.Self.Service} {
@@ -101,7 +109,7 @@
 	if s.Self.ID == 0 {
 		return nil, errors.New("the node has no incarnation id")
 	}
-	conn, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(s.Self.Address))
+	conn, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(s.listen()))
 	if err != nil {
 		return nil, errors.Wrapf(err, "listen for gossip on %v", s.Self.Address)
 	}
--- a/io/settings/settings.go
+++ b/io/settings/settings.go
@@ -7,6 +7,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"net"
 	"net/netip"
 	"net/url"
 	"os"
@@ -30,6 +31,7 @@
 	region        string
 	caller        netip.AddrPort
 	peer          netip.AddrPort
+	peerListen    netip.AddrPort
 	admin         netip.AddrPort
 	platform      string
 	seeds         []netip.AddrPort
@@ -52,6 +54,22 @@
 // PeerAddress returns the address for other nodes, TCP and UDP.
 func (s Settings) PeerAddress() netip.AddrPort { return s.peer }
 
+// PeerListenAddress returns the address to listen on for other nodes, if it differs from the one that they use.
+func (s Settings) PeerListenAddress() netip.AddrPort {
+	if s.peerListen.IsValid() {
+		return s.peerListen
+	}
+	return s.peer
+}
+
+// LocalIP returns the address from which connections to other nodes are opened, nil for any.
+func (s Settings) LocalIP() net.IP {
+	if a := s.PeerListenAddress().Addr(); !a.IsUnspecified() {
+		return a.AsSlice()
+	}
+	return nil
+}
+
 // AdminAddress returns the address for operators and for announcements of the own target.
 func (s Settings) AdminAddress() netip.AddrPort { return s.admin }
 
@@ -74,6 +92,7 @@
 	Region        string   `json:"region"`
 	CallerAddress string   `json:"caller-address"`
 	PeerAddress   string   `json:"peer-address"`
+	PeerListen    string   `json:"peer-listen-address"`
 	AdminAddress  string   `json:"admin-address"`
 	PlatformURL   string   `json:"platform-url"`
 	Seeds         []string `json:"seeds"`
@@ -114,6 +133,9 @@
 		drainTimeout:  c.duration("drain-timeout", f.DrainTimeout, DefaultDrainTimeout, time.Second, 10*time.Minute),
 		logLevel:      c.level("log-level", f.LogLevel),
 	}
+	if f.PeerListen != "" {
+		s.peerListen = c.address("peer-listen-address", f.PeerListen)
+	}
 	for i, a := range f.Seeds {
 		s.seeds = append(s.seeds, c.address(fmt.Sprintf("seeds[%d]", i), a))
 	}
--- a/node/node.go
+++ b/node/node.go
@@ -58,6 +58,7 @@
 	Asker      dispatch.Outcomes      // asks other nodes what became of an attempt
 	Log        *eventlog.Log
 	Key        requestid.Key // secret of this process, random
+	LocalIP    net.IP        // from which connections to other nodes are opened; nil for any
 	Seed       uint64        // of the random choices
 }
 
@@ -87,7 +88,7 @@
 func New(p Parts) *Node {
 	now := p.Timers.Now()
 	n := &Node{
-		parts: p, local: &target.Local{}, running: execute.NewRunning(), trace: trace.New(), levels: level.New(level.Spec{}), targets: target.NewClient(), peers: peer.NewClient(p.Timers, p.Self.Address.Addr().AsSlice()),
+		parts: p, local: &target.Local{}, running: execute.NewRunning(), trace: trace.New(), levels: level.New(level.Spec{}), targets: target.NewClient(), peers: peer.NewClient(p.Timers, p.LocalIP),
 		admit:     admit.New(admit.Spec{Slots: initialSlots}),
 		register:  p.Register,
 		callerMux: http.NewServeMux(), peerMux: http.NewServeMux(),
