--- a/io/target/stub/stub.go
+++ b/io/target/stub/stub.go
@@ -32,6 +32,10 @@
 	Calls   []string      // next calls of the chain, service/method or service/method:call-key
 	Delay   time.Duration // work time of each call
 	Crash   func()        // ends the process; nil breaks the connections only
+
+	// Executing hears of each execution when it starts, with the answer that it will give, and returns a function to call
+	// at its end.
+	Executing func(id, answer string) (end func())
 }
 
 // Faults are what the target does wrong from now on.
@@ -136,6 +140,9 @@
 		}
 		panic(http.ErrAbortHandler)
 	}
+	if t.spec.Executing != nil {
+		defer t.spec.Executing(id, t.text(id, len(body)))()
+	}
 	if !sleep(q.Context(), t.spec.Delay+time.Duration(f.DelayMS)*time.Millisecond) {
 		return
 	}
@@ -150,7 +157,7 @@
 }
 
 func (t *Target) answer(w http.ResponseWriter, f Faults, id string, body []byte) {
-	text := fmt.Sprintf("%s served %s with %d bytes\n", t.spec.Service, id, len(body))
+	text := t.text(id, len(body))
 	if f.Size > 0 {
 		text = strings.Repeat("x", f.Size)
 	}
@@ -163,6 +170,10 @@
 	_, _ = io.WriteString(w, text)
 }
 
+func (t *Target) text(id string, n int) string {
+	return fmt.Sprintf("%s served %s with %d bytes\n", t.spec.Service, id, n)
+}
+
 // next makes one call of the chain, with the headers that tie it to the call that runs.
 func (t *Target) next(q *http.Request, c string) error {
 	path, key, _ := strings.Cut(c, ":")
