io/store, io/cli: tests for the object's bound, missing reasons and a restore during a lost write

Cause: trial mutations showed that these mechanisms had no test that failed without them. Change: four tests; the roll-over test no longer fills entries to their bound, which a separate test checks.

--- a/io/cli/cli_test.go
+++ b/io/cli/cli_test.go
@@ -279,6 +279,8 @@
 	w.run("ada", "quarantine", "--node", a)
 	w.run("ada", "quarantine", "--node", a, "--clear", "f1")
 	w.run("ada", "drain", "--node", a)
+	assert.Equal(t, w.apply("ada", "one.json", 0, "first text", "--node", dead), cli.Failed)
+	assert.Equal(t, w.state().Generation, uint64(0))
 	for _, args := range [][]string{{"status"}, {"apply", "testdata/one.json"}, {"check"}, {"check", "testdata/none.json"}, {"reload"},
 		{"history", "--platform", "x", "--limit", "0"}, {"diff", "testdata/one.json"}, {"apply", "--help"}} {
 		w.run("ada", args...)
--- a/io/store/store_test.go
+++ b/io/store/store_test.go
@@ -39,10 +39,10 @@
 func newMemory() *memory { return &memory{objects: map[string]mustardmast.Object{}} }
 
 // prefill stores a configuration with n changes, so that a test needs fewer of its own to reach a full tail.
-func (m *memory) prefill(n uint64, why string) {
+func (m *memory) prefill(n uint64) {
 	st := store.State{Generation: n, Text: "{}"}
 	for g := range n {
-		st.Trail = st.Trail.Append(audit.Entry{ID: fmt.Sprint("p", g), Who: "ada", Why: why, From: g, To: g + 1})
+		st.Trail = st.Trail.Append(audit.Entry{ID: fmt.Sprint("p", g), Who: "ada", Why: "x", From: g, To: g + 1})
 	}
 	if n > 0 {
 		m.objects[store.ObjectName] = mustardmast.Object{Name: store.ObjectName, Version: 1, Value: store.Encode(st)}
@@ -223,7 +223,7 @@
 func TestHistoryHoldsExactlyTheAcceptedChanges(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		m := newMemory()
-		m.prefill(uint64(rapid.IntRange(0, audit.MaxTail).Draw(t, "changes before")), "x")
+		m.prefill(uint64(rapid.IntRange(0, audit.MaxTail).Draw(t, "changes before")))
 		s, other := open(m, "c"), open(m, "o")
 		ctx := context.Background()
 		accepted, refused := map[string]bool{}, map[string]bool{}
@@ -277,7 +277,7 @@
 	})
 }
 
-// Guards against a roll-over that loses or repeats entries when it is interrupted, and an object that outgrows 1 MB.
+// Guards against a roll-over that loses or repeats entries when it is interrupted.
 func TestInterruptedRollOver(t *testing.T) {
 	m := newMemory()
 	s := open(m, "c")
@@ -290,14 +290,11 @@
 		}
 		return none
 	}
-	m.prefill(120, strings.Repeat(`"`, audit.MaxWhy))
+	m.prefill(120)
 	for g := uint64(120); g < 200; {
-		r := request(g, 1)
-		r.Why = strings.Repeat(`"`, audit.MaxWhy)
-		if _, err := s.Apply(ctx, r); err == nil {
+		if _, err := s.Apply(ctx, request(g, 1)); err == nil {
 			g++
 		}
-		assert.Assert(t, len(m.objects[store.ObjectName].Value) < 1_000_000)
 	}
 	assert.Assert(t, interrupted > 5)
 	history, err := s.History(ctx, 1000)
@@ -312,6 +309,51 @@
 	assert.Equal(t, archives, 2)
 }
 
+// Guards against an object that outgrows the platform's limit, a trail that takes the room of the text, and a change
+// without who or why.
+func TestSizeAndWhoAndWhy(t *testing.T) {
+	m := newMemory()
+	s := open(m, "c")
+	ctx := context.Background()
+	r := request(0, 1)
+	r.Text = strings.Repeat("\n", 550_000) + "{}" // newlines take two bytes in stored form
+	_, err := s.Apply(ctx, r)
+	assert.Equal(t, fault.KindOf(err), fault.ConfigInvalid)
+	assert.ErrorContains(t, err, "allowed: 1000000")
+	r = request(0, 1)
+	r.Why = ""
+	_, err = s.Apply(ctx, r)
+	assert.Equal(t, fault.KindOf(err), fault.BadRequest)
+	var full store.State
+	for range audit.MaxTail {
+		full.Trail = full.Trail.Append(audit.Entry{ID: strings.Repeat("x", 36), Who: strings.Repeat(`"`, audit.MaxWho),
+			Why: strings.Repeat(`"`, audit.MaxWhy), When: clock{}.Now(), From: 1 << 60, To: 1 << 61})
+	}
+	assert.Assert(t, len(store.Encode(full)) < 200_000)
+}
+
+// Guards against a conflict that is reported for a write that was undone by a restore, and may come again.
+func TestRestoreDuringLostWriteStaysUnknown(t *testing.T) {
+	m := newMemory()
+	s := open(m, "c")
+	ctx := context.Background()
+	_, err := s.Apply(ctx, request(0, 1))
+	assert.NilError(t, err)
+	old := m.objects[store.ObjectName]
+	_, err = s.Apply(ctx, request(1, 2))
+	assert.NilError(t, err)
+	m.fault = func(o mustardmast.Object) putFault {
+		if o.Name != store.ObjectName {
+			return none
+		}
+		m.objects[store.ObjectName] = old
+		return dropped
+	}
+	_, err = s.Apply(ctx, request(2, 3))
+	assert.Equal(t, fault.KindOf(err), fault.WriteUnknown)
+	assert.ErrorContains(t, err, "set back to an older state")
+}
+
 func ExampleStore() {
 	s := open(newMemory(), "change-")
 	ctx := context.Background()
