--- a/io/store/store_test.go
+++ b/io/store/store_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"flag"
 	"fmt"
 	"strings"
 	"testing"
@@ -17,6 +18,9 @@
 	"mustardmast/io/store"
 )
 
+// The seed is fixed, so that a failure can be repeated; -rapid.seed on the command line takes another.
+func init() { _ = flag.Set("rapid.seed", "1") }
+
 // memory is a platform with faults per write.
 type memory struct {
 	objects map[string]mustardmast.Object
--- a/io/text/text_test.go
+++ b/io/text/text_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"flag"
 	"fmt"
 	"math"
 	"os"
@@ -19,6 +20,9 @@
 	"mustardmast/io/text"
 )
 
+// The seed is fixed, so that a failure can be repeated; -rapid.seed on the command line takes another.
+func init() { _ = flag.Set("rapid.seed", "1") }
+
 func read(t *testing.T, name string) []byte {
 	t.Helper()
 	b, err := os.ReadFile("testdata/" + name)
