io/text: report slips in the JSON together with all other faults

Ruled out: a scanner of our own; the standard decoder is asked again after each repair instead. Change: a comma too many or too few, a missing colon and a word that is no value are reported and repaired in a copy of the same length, so places stay right; a value that a repair put in place is not judged.

--- a/io/text/read.go
+++ b/io/text/read.go
@@ -32,6 +32,10 @@
 
 // wrong reports a value of the wrong type.
 func (d *decoder) wrong(n *node, path, want string) {
+	if n.kind == brokenNode {
+		d.ignore(path)
+		return
+	}
 	got := n.kind.String()
 	if n.kind == textNode || n.kind == numberNode {
 		got += " " + shorten(n.text, n.kind)
@@ -39,11 +43,16 @@
 	d.unreadable(n, path, got, want)
 }
 
-func (d *decoder) unreadable(n *node, path, problem, allowed string) {
+// ignore keeps Validate from judging the default that stands in for an unreadable value.
+func (d *decoder) ignore(path string) {
 	if d.broken == nil {
 		d.broken = map[string]bool{}
 	}
 	d.broken[path] = true
+}
+
+func (d *decoder) unreadable(n *node, path, problem, allowed string) {
+	d.ignore(path)
 	d.fail(n.offset, path, problem, allowed)
 }
 
--- a/io/text/tree.go
+++ b/io/text/tree.go
@@ -20,10 +20,11 @@
 	numberNode
 	boolNode
 	nullNode
+	brokenNode // stands for a value that is not JSON and is reported as such
 )
 
 func (k kind) String() string {
-	return [...]string{"an object", "a list", "text", "a number", "true or false", "null"}[k]
+	return [...]string{"an object", "a list", "text", "a number", "true or false", "null", "no value"}[k]
 }
 
 // node is one JSON value with the offset at which it starts.
@@ -44,26 +45,30 @@
 
 // parser builds the tree from tokens, because decoding into structs loses positions and duplicate keys.
 type parser struct {
-	src []byte
-	dec *json.Decoder
+	src    []byte
+	dec    *json.Decoder
+	key    bool         // the last token was a key, so a colon must follow
+	name   bool         // the next token must be a key
+	broken map[int]bool // offsets of values that a repair put in place
 }
 
 type syntaxError struct {
 	offset  int
 	problem string
+	final   bool // nothing follows that could be read
 }
 
 func (e *syntaxError) Error() string { return e.problem }
 
-func parse(src []byte) (*node, *syntaxError) {
-	p := parser{src: src, dec: json.NewDecoder(bytes.NewReader(src))}
+func (p *parser) parse() (*node, *syntaxError) {
+	p.dec, p.key, p.name = json.NewDecoder(bytes.NewReader(p.src)), false, false
 	p.dec.UseNumber()
 	n, err := p.value(0)
 	if err != nil {
 		return nil, err
 	}
-	if rest := p.skip(int(p.dec.InputOffset())); rest < len(src) {
-		return nil, &syntaxError{rest, "text after the end of the configuration"}
+	if rest := p.skip(int(p.dec.InputOffset())); rest < len(p.src) {
+		return nil, &syntaxError{offset: rest, problem: "text after the end of the configuration", final: true}
 	}
 	return n, nil
 }
@@ -81,13 +86,14 @@
 	start := p.skip(int(p.dec.InputOffset()))
 	tok, err := p.dec.Token()
 	if err == nil {
+		p.key, p.name = false, false
 		return tok, start, nil
 	}
 	if errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) {
-		return nil, 0, &syntaxError{len(p.src), "the text ends before the configuration is complete"}
+		return nil, 0, &syntaxError{offset: len(p.src), problem: "the text ends before the configuration is complete", final: true}
 	}
 	// The offset in json.SyntaxError is not that of the token when the decoder reads ahead.
-	return nil, 0, &syntaxError{start, "not JSON: " + err.Error()}
+	return nil, 0, &syntaxError{offset: start, problem: "not JSON: " + err.Error()}
 }
 
 func (p *parser) value(depth int) (*node, *syntaxError) {
@@ -96,7 +102,7 @@
 		return nil, err
 	}
 	if depth > maxNesting {
-		return nil, &syntaxError{start, fmt.Sprintf("nested more than %d levels deep", maxNesting)}
+		return nil, &syntaxError{offset: start, problem: fmt.Sprintf("nested more than %d levels deep", maxNesting), final: true}
 	}
 	n := &node{offset: start}
 	switch v := tok.(type) {
@@ -109,6 +115,9 @@
 		n.kind, n.text = textNode, v
 	case json.Number:
 		n.kind, n.text = numberNode, v.String()
+		if p.broken[start] {
+			n.kind = brokenNode
+		}
 	case bool:
 		n.kind, n.flag = boolNode, v
 	default:
@@ -120,13 +129,15 @@
 func (p *parser) object(n *node, depth int) *syntaxError {
 	n.kind = objectNode
 	for p.dec.More() {
+		p.name = true
 		tok, start, err := p.next()
 		if err != nil {
 			return err
 		}
+		p.key = true
 		name, ok := tok.(string)
 		if !ok {
-			return &syntaxError{start, "not JSON: a key must be text in double quotes"}
+			return &syntaxError{offset: start, problem: "not JSON: a key must be text in double quotes"}
 		}
 		v, err := p.value(depth + 1)
 		if err != nil {
