io/cli: environment of a process, and a check of the page against the commands

Cause: the program would have repeated the wiring of the commands, and a generation that is mistyped was reported as a restored platform. Change: cli.Process builds the Env; the conflict names both explanations.

--- a/io/cli/cli_test.go
+++ b/io/cli/cli_test.go
@@ -288,6 +288,24 @@
 	w.golden("nodes-and-usage.golden")
 }
 
+// Guards against a command that the page does not list.
+func TestPageListsEveryCommand(t *testing.T) {
+	page, err := os.ReadFile("../../docs/configuration.md")
+	assert.NilError(t, err)
+	p := flags.NewNamedParser("mustardmast", flags.None)
+	assert.NilError(t, cli.Add(p, cli.Process(&node{})))
+	for _, c := range p.Commands() {
+		assert.Assert(t, strings.Contains(string(page), "\n| `"+c.Name), "docs/configuration.md lacks the command %s", c.Name)
+	}
+}
+
+// Guards against change ids that come twice, which would settle one operator's write by another's.
+func TestProcessIDsDiffer(t *testing.T) {
+	e := cli.Process(&node{})
+	a, b := e.NewID(), e.NewID()
+	assert.Assert(t, a != b && len(a) == 32)
+}
+
 func ExampleCode() {
 	fmt.Println(cli.Code(nil), cli.Code(fault.New(fault.Conflict, "")), cli.Code(fault.New(fault.WriteUnknown, "")))
 	// Output: 0 3 5
--- a/io/store/apply.go
+++ b/io/store/apply.go
@@ -43,7 +43,7 @@
 	case e.Winner.To == 0:
 		return fmt.Sprintf("the change was made from generation %d, but the platform holds none", e.Expected)
 	case e.Now < e.Expected:
-		return fmt.Sprintf("the change was made from generation %d, but the platform is at %d; it was set back to an older state; its last change: %s",
+		return fmt.Sprintf("the change was made from generation %d, but the platform is only at %d; unless the number is mistyped, the platform was set back to an older state; its last change: %s",
 			e.Expected, e.Now, e.Winner)
 	}
 	return fmt.Sprintf("the change was made from generation %d, but the platform is at %d; the change that came first: %s",
