--- a/io/cli/cli_test.go
+++ b/io/cli/cli_test.go
@@ -279,6 +279,8 @@
 	w.run("ada", "quarantine", "--node", a)
 	w.run("ada", "quarantine", "--node", a, "--clear", "f1")
 	w.run("ada", "drain", "--node", a)
+	assert.Equal(t, w.apply("ada", "one.json", 0, "first text", "--node", dead), cli.Failed)
+	assert.Equal(t, w.state().Generation, uint64(0))
 	for _, args := range [][]string{{"status"}, {"apply", "testdata/one.json"}, {"check"}, {"check", "testdata/none.json"}, {"reload"},
 		{"history", "--platform", "x", "--limit", "0"}, {"diff", "testdata/one.json"}, {"apply", "--help"}} {
 		w.run("ada", args...)
@@ -286,6 +288,24 @@
 	w.golden("nodes-and-usage.golden")
 }
 
+// Guards against a command that the page does not list.
+func TestPageListsEveryCommand(t *testing.T) {
+	page, err := os.ReadFile("../../docs/configuration.md")
+	assert.NilError(t, err)
+	p := flags.NewNamedParser("mustardmast", flags.None)
+	assert.NilError(t, cli.Add(p, cli.Process(&node{})))
+	for _, c := range p.Commands() {
+		assert.Assert(t, strings.Contains(string(page), "\n| `"+c.Name), "docs/configuration.md lacks the command %s", c.Name)
+	}
+}
+
+// Guards against change ids that come twice, which would settle one operator's write by another's.
+func TestProcessIDsDiffer(t *testing.T) {
+	e := cli.Process(&node{})
+	a, b := e.NewID(), e.NewID()
+	assert.Assert(t, a != b && len(a) == 32)
+}
+
 func ExampleCode() {
 	fmt.Println(cli.Code(nil), cli.Code(fault.New(fault.Conflict, "")), cli.Code(fault.New(fault.WriteUnknown, "")))
 	// Output: 0 3 5
