core/member, cmd/capacity: bounded probes of lost members, capacity program

Cause: after a partition every node probed the last members that returned, so that these got one ping a second from each node; comparisons of views that the budget ended waited for a minute; a node that missed a new member's record knew it only after the next comparison. Ruled out: no probes of lost members, which leaves two halves apart. Change: the interval between probes of lost members grows with nodes per lost member; an ended comparison is resumed after 5 s; news about a live member that is not known asks for a comparison. cmd/capacity measures fleets in virtual time and prints one line per budget; make capacity runs it.

--- a/Makefile
+++ b/Makefile
@@ -19,5 +19,8 @@
 lint:
 	PATH="$$(.ci/tools):$$PATH" golangci-lint run ./...
 
+capacity:
+	$(GO) run ./cmd/capacity
+
 ci:
 	.ci/run
--- /dev/null
+++ b/cmd/capacity/events.go
@@ -0,0 +1,137 @@
+package main
+
+import (
+	"fmt"
+	"time"
+
+	"mustardmast"
+	"mustardmast/internal/fleet"
+)
+
+// events measures changes of configuration and mass events at each size.
+func events(o options) []line {
+	var out []line
+	for _, n := range o.sizes {
+		out = eventsAt(o, n)
+	}
+	return out
+}
+
+func eventsAt(o options, n int) []line {
+	w := newWorld(o.seed, n)
+	w.run(3 * time.Second)
+	fmt.Printf("%d nodes:\n", n)
+
+	var took time.Duration
+	bytes, _ := w.traffic(func() { w.run(10 * time.Second) })
+	with, _ := w.traffic(func() {
+		took = w.spreadTime()
+		w.run(10*time.Second - took)
+	})
+	fmt.Printf("  change: in force everywhere after %v, %.0f bytes per node\n", took, 10*(with-bytes))
+
+	drain := w.drainTime()
+	fmt.Printf("  draining seen by all after %v\n", drain)
+
+	mean, most := w.traffic(func() { w.day(2*time.Minute, 3600*time.Millisecond*3800/time.Duration(n), 0) })
+	fmt.Printf("  1,000 restarts an hour (in proportion): %.0f B/s, busiest %.0f B/s\n", mean, most)
+	lines := []line{
+		{"time for a change to be in force everywhere", 8, took.Seconds(), "s"},
+		{"time for draining to be seen everywhere", 3, drain.Seconds(), "s"},
+		{"control bytes during 1,000 restarts an hour, mean over 2 min", 5000, mean, "B/s"},
+	}
+	lines = append(lines, w.domainLoss()...)
+	return append(lines, w.regionPartition()...)
+}
+
+func (w *world) drainTime() time.Duration {
+	n := w.Nodes[len(w.Nodes)/2]
+	w.Do(n, n.Declare(w.Now(), mustardmast.Draining, "", 100))
+	took, _ := w.until(20*time.Second, func() bool {
+		live := 0
+		for _, o := range w.Nodes {
+			if !o.Down {
+				live++
+			}
+		}
+		return w.Believe(n.Member.ID, mustardmast.Draining) >= live-w.ignorant()
+	})
+	w.Do(n, n.Declare(w.Now(), mustardmast.Ready, "", 100))
+	return took
+}
+
+// ignorant counts live nodes that are still filling their view.
+func (w *world) ignorant() int {
+	count := 0
+	for _, n := range w.Nodes {
+		if !n.Down && n.Len() < len(w.Nodes)*9/10 {
+			count++
+		}
+	}
+	return count
+}
+
+// domainLoss stops all nodes of one failure domain, and starts new ones two minutes later.
+func (w *world) domainLoss() []line {
+	var lost []*fleet.Node
+	for i, n := range w.Nodes {
+		if i%domains == 5 {
+			n.Down = true
+			lost = append(lost, n)
+		}
+	}
+	gone := func() bool {
+		for i := 0; i < len(lost); i += max(1, len(lost)/20) {
+			if w.Believe(lost[i].Member.ID, mustardmast.Ready, mustardmast.Joining, mustardmast.Suspect) > 0 {
+				return false
+			}
+		}
+		return true
+	}
+	var took time.Duration
+	mean, most := w.traffic(func() {
+		took, _ = w.until(3*time.Minute, gone)
+		w.run(max(0, 2*time.Minute-took))
+	})
+	fmt.Printf("  domain of %d lost: unreachable for all after %v, %.0f B/s over 2 min, busiest %.0f B/s\n",
+		len(lost), took, mean, most)
+	for i := range w.Nodes {
+		if i%domains == 5 {
+			w.restart(i)
+		}
+	}
+	var back time.Duration
+	meanBack, mostBack := w.traffic(func() {
+		back, _ = w.until(5*time.Minute, func() bool { return w.seen(40) > 0.9999 })
+		w.run(max(0, 2*time.Minute-back))
+	})
+	fmt.Printf("  domain back as new incarnations: known to all after %v, %.0f B/s, busiest %.0f B/s\n",
+		back, meanBack, mostBack)
+	return []line{
+		{"control bytes after the loss of a domain, mean over 2 min", 5000, mean, "B/s"},
+		{"control bytes while a domain starts, mean over 2 min or until all know it", 5000, meanBack, "B/s"},
+	}
+}
+
+// regionPartition cuts two of five regions off for three minutes, with the restarts of an hour, and heals.
+func (w *world) regionPartition() []line {
+	w.Link.Cut = func(a, b *fleet.Node) bool { return (a.Index%domains < 5) != (b.Index%domains < 5) }
+	mean, most := w.traffic(func() {
+		w.day(3*time.Minute, 3*time.Minute*3800/time.Duration(58*len(w.Nodes)), 0)
+	})
+	fmt.Printf("  regions partitioned: %.0f B/s over 3 min, busiest %.0f B/s\n", mean, most)
+	w.Link.Cut = nil
+	var most99, took time.Duration
+	meanHeal, mostHeal := w.traffic(func() {
+		most99, _ = w.until(10*time.Minute, func() bool { return w.seen(40) > 0.99 })
+		took, _ = w.until(10*time.Minute, func() bool { return w.seen(40) > 0.9999 })
+		took += most99
+		w.run(max(0, 2*time.Minute-took))
+	})
+	fmt.Printf("  healed: 99%% of pairs after %v, 99.99%% after %v, %.0f B/s, busiest %.0f B/s; next change in force after %v\n",
+		most99, took, meanHeal, mostHeal, w.spreadTime())
+	return []line{
+		{"control bytes during a partition between regions, mean over 3 min", 5000, mean, "B/s"},
+		{"control bytes while a partition heals, mean over 2 min or until merged", 5000, meanHeal, "B/s"},
+	}
+}
--- /dev/null
+++ b/cmd/capacity/shell.go
@@ -0,0 +1,128 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"go.uber.org/zap"
+
+	"mustardmast"
+	"mustardmast/core/fault"
+	"mustardmast/io/control"
+)
+
+// tickers is a timer service on the wall clock.
+type tickers struct{}
+
+func (tickers) Now() time.Time { return time.Now() }
+
+func (tickers) Every(period time.Duration, f func(time.Time)) func() {
+	t, done := time.NewTicker(period), make(chan struct{})
+	go func() {
+		for {
+			select {
+			case now := <-t.C:
+				f(now)
+			case <-done:
+				return
+			}
+		}
+	}()
+	return func() { t.Stop(); close(done) }
+}
+
+func (tickers) After(d time.Duration, f func(time.Time)) func() {
+	t := time.AfterFunc(d, func() { f(time.Now()) })
+	return func() { t.Stop() }
+}
+
+// noPlatform is a platform that is down.
+type noPlatform struct{}
+
+func (noPlatform) Get(context.Context, string) (mustardmast.Object, error) {
+	return mustardmast.Object{}, fault.New(fault.PlatformUnavailable, "none")
+}
+
+func (noPlatform) Put(context.Context, mustardmast.Object) (mustardmast.Object, error) {
+	return mustardmast.Object{}, fault.New(fault.PlatformUnavailable, "none")
+}
+
+func (noPlatform) Watch(context.Context, string, uint64) (mustardmast.Object, error) {
+	return mustardmast.Object{}, fault.New(fault.PlatformUnavailable, "none")
+}
+
+// shell measures real control planes over loopback sockets: processor time with codecs, sockets, timers and the
+// collector, and bytes.
+func shell(o options) []line {
+	const nodes, settle, measured = 50, 15 * time.Second, 20 * time.Second
+	var all []*control.Control
+	var seeds []netip.AddrPort
+	for i := range nodes {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			fmt.Println("  no listener:", err)
+			return nil
+		}
+		self := memberOf(i)
+		self.ID = mustardmast.NodeID(rand.Uint64() | 1)
+		self.Address = netip.MustParseAddrPort(l.Addr().String())
+		c, err := control.New(control.Settings{
+			Self: self, Seeds: seeds, Platform: noPlatform{}, Timers: tickers{},
+			Decode:  func([]byte) (uint64, string, []byte, error) { return 0, "", nil, nil },
+			Install: func(uint64, string, []byte) error { return nil },
+			Rand:    rand.New(rand.NewPCG(o.seed, uint64(i))), Log: zap.NewNop(),
+		})
+		if err != nil {
+			fmt.Println("  no control plane:", err)
+			return nil
+		}
+		if len(seeds) == 0 {
+			seeds = []netip.AddrPort{self.Address}
+		}
+		mux := http.NewServeMux()
+		mux.Handle(c.Handler())
+		protocols := new(http.Protocols)
+		protocols.SetUnencryptedHTTP2(true)
+		srv := &http.Server{Handler: mux, Protocols: protocols}
+		go func() { _ = srv.Serve(l) }()
+		c.Start()
+		defer func() { c.Close(); _ = srv.Close() }()
+		all = append(all, c)
+	}
+	time.Sleep(settle)
+	bytes := func() (b uint64, busy time.Duration) {
+		for _, c := range all {
+			b += c.Meter().Sent() + c.Meter().Received()
+			busy += c.Meter().Busy()
+		}
+		return b, busy
+	}
+	cpu := processorTime()
+	b, busy := bytes()
+	time.Sleep(measured)
+	b2, busy2 := bytes()
+	cpu = processorTime() - cpu
+	part := 100 * cpu.Seconds() / measured.Seconds() / nodes
+	fmt.Printf("%d control planes, idle: %.3f%% of a core each (busy time %.3f%%), %.0f B/s, %d members known\n", nodes, part,
+		100*(busy2-busy).Seconds()/measured.Seconds()/nodes, float64(b2-b)/measured.Seconds()/nodes, all[0].Members().Len())
+	return []line{{"core of an idle control plane with sockets and codecs (50 nodes)", 1.2, part, "%"}}
+}
+
+// platform works out calls to the platform. They depend on failure domains, starts and changes, not on the fleet.
+func platform(o options) []line {
+	const changes, restarts, seedsEvery = 4100.0 / secondsDay, 1400.0 / secondsDay, 300.0
+	for _, n := range o.sizes {
+		watches := float64(2*domains) * changes      // each watch returns once per change and is renewed
+		starts := restarts * float64(n) / 3800 * 1.0 // one read of the configuration per start
+		seeds := domains / seedsEvery                // one read per domain in five minutes
+		fmt.Printf("%d nodes: watches %.3f/s (%d waiting), starts %.4f/s, seeds %.3f/s\n",
+			n, watches, 2*domains, starts, seeds)
+	}
+	total := 2*domains*changes + restarts + domains/seedsEvery
+	return []line{{"platform reads and watches of an ordinary day (2,000/s shared by everybody)", 200, total, "calls/s"}}
+}
--- a/core/member/gossip.go
+++ b/core/member/gossip.go
@@ -8,11 +8,11 @@
 	"mustardmast"
 )
 
-// Bounds on gossip about many doubted members of one failure domain at once. Each of them is noticed by several nodes
-// independently, so fewer repetitions reach everybody.
+// Bounds on gossip about many doubted members of one failure domain at once, and about their return. Each of them is
+// noticed by several nodes independently, so fewer repetitions reach everybody, and nothing is sent ahead of the pings.
 const (
 	massDoubt = 32
-	massSends = 4
+	massSends = 8 // with 4, some nodes heard of a lost domain only when they compared views
 	maxSends  = 32
 )
 
@@ -35,6 +35,7 @@
 	ticket uint32 // 0 if the record is not queued
 	sends  uint8
 	wide   bool // the full record must be sent
+	few    bool // one of many refutations
 }
 
 func (q *queue) add(r *record, wide bool) {
@@ -133,7 +134,7 @@
 }
 
 func (m *Members) sendLimit(r *record, limit int) int {
-	if r.doubt != Trusted && m.doubted[r.member.FailureDomain] > massDoubt {
+	if r.entry.few || r.doubt != Trusted && m.doubted[r.member.FailureDomain] > massDoubt {
 		return min(massSends, limit)
 	}
 	return limit
--- a/core/member/members.go
+++ b/core/member/members.go
@@ -38,8 +38,11 @@
 	baseSuspicion  = 5 * time.Second
 	keepGone       = 2 * time.Hour // outlasts a partition between regions of an hour
 	lostProbeEvery = 10 * time.Second
+	longestLost    = time.Minute
 	healingFor     = time.Minute // after a lost member answered, lost members are probed every period
 	syncEvery      = time.Minute
+	syncMissed     = 15 * time.Second // between comparisons because a member is not known
+	syncAgain      = 5 * time.Second  // after a comparison that the budget ended early
 	reapEvery      = 10 * time.Second
 	pauseGap       = 3 * time.Second // longer between two ticks means that this process was paused
 	eagerPeers     = 4
@@ -111,6 +114,7 @@
 	lostAt    time.Duration
 	healUntil time.Duration
 	syncAt    time.Duration
+	syncedAt  time.Duration
 	reapAt    time.Duration
 	askedAt   time.Duration
 
--- a/core/member/members_test.go
+++ b/core/member/members_test.go
@@ -183,6 +183,33 @@
 	assert.Assert(t, doubts(f, func() { f.Run(5 * time.Minute) }) > 0, "the naive variant is as quiet")
 }
 
+// Guards the control budget while a whole failure domain is lost. The naive variant has no budget.
+func TestLossOfDomainCostsBoundedBytes(t *testing.T) {
+	const rate, burst, seconds = 350, 3000, 60
+	run := func(rate, burst int) (most int) {
+		f := fleet.New(9, lan)
+		f.Rate, f.Burst, f.NoSync = rate, burst, true
+		for i := range 160 {
+			f.Add(fleet.Member(i, 4))
+		}
+		f.Acquaint()
+		for i, n := range f.Nodes {
+			n.Down = i%4 == 1
+		}
+		f.Run(seconds * time.Second)
+		for _, n := range f.Nodes {
+			most = max(most, n.Sent+n.Received)
+		}
+		f.Run(time.Minute)
+		assert.Equal(t, f.Believe(f.Nodes[1].Member.ID, mustardmast.Unreachable), 120)
+		return most
+	}
+	const bound = rate*seconds + burst*2 // the burst itself, and once more overdrawn
+	bounded, naive := run(rate, burst), run(1<<30, 1<<30)
+	t.Logf("busiest node: %d bytes, %d without a budget, at most %d", bounded, naive, bound)
+	assert.Assert(t, bounded <= bound && naive > bound)
+}
+
 // Guards against a process that was paused and takes its own silence for that of others.
 func TestPausedNodeDoubtsNobody(t *testing.T) {
 	f := newFleet(7, 20, 4)
--- a/core/member/probe.go
+++ b/core/member/probe.go
@@ -62,6 +62,7 @@
 		m.startProbes(now, at)
 	}
 	if at >= m.syncAt {
+		m.syncedAt = at
 		m.syncAt = at + syncEvery*3/4 + time.Duration(m.rng.Int64N(int64(syncEvery/2)))
 		m.askSync(m.pick(2, 0)...)
 	}
@@ -156,16 +157,24 @@
 		}
 	}
 	if m.lost > 0 && at >= m.lostAt {
-		m.lostAt = at + lostProbeEvery
-		if at < m.healUntil {
-			m.lostAt = at + Period
-		}
+		m.lostAt = at + m.lostInterval(at)
 		if r := m.nextLostProbe(); r != nil {
 			m.probe(now, at, r)
 		}
 	}
 }
 
+// lostInterval is the time between probes of lost members. It grows with the number of nodes per lost member, so that
+// the last member to return is not probed by the whole fleet every second. Its bound keeps the time short in which a
+// node finds a member again that it alone has lost.
+func (m *Members) lostInterval(at time.Duration) time.Duration {
+	least := lostProbeEvery
+	if at < m.healUntil {
+		least = Period
+	}
+	return min(max(least*time.Duration(len(m.order)+1)/time.Duration(m.lost), least), longestLost)
+}
+
 // nextProbe walks through the members in a random order that is drawn anew for each round.
 func (m *Members) nextProbe() *record {
 	for range len(m.order) + 1 {
--- a/core/member/record.go
+++ b/core/member/record.go
@@ -161,7 +161,9 @@
 // replace takes over a newer statement about a known member.
 func (m *Members) replace(at time.Duration, r *record, u Update) {
 	urgent := u.Member.State != r.declared && (u.Member.State == mustardmast.Draining || u.Member.State == mustardmast.Left)
-	urgent = urgent || u.Doubt == Trusted && r.doubt != Trusted
+	refuted := u.Doubt == Trusted && r.doubt != Trusted
+	mass := refuted && m.doubted[r.member.FailureDomain] > massDoubt
+	urgent = urgent || refuted && !mass
 	wide := false
 	m.edit(r, func() {
 		if r.declared != u.Member.State || r.doubt != u.Doubt {
@@ -181,6 +183,7 @@
 		r.member = &c
 	})
 	m.queue.add(r, wide)
+	r.entry.few = mass && !wide
 	if urgent {
 		m.hurry(r)
 	}
@@ -198,6 +201,11 @@
 
 // insert takes up a member that was not known, if its address is free or held by an earlier incarnation.
 func (m *Members) insert(at time.Duration, u Update) bool {
+	if u.Brief && u.Doubt == Trusted && u.Member.State <= mustardmast.Ready {
+		// A live member whose full record this node has missed. Briefs about members that go are no reason to ask:
+		// they are often late news about an incarnation that is superseded already.
+		m.syncAt = min(m.syncAt, max(at+Period, m.syncedAt+syncMissed))
+	}
 	if u.Brief || u.Member.State == mustardmast.Left || !sound(u.Member) {
 		return false
 	}
--- a/core/member/sync.go
+++ b/core/member/sync.go
@@ -84,3 +84,11 @@
 	m.queue.closed = false
 	return m.take()
 }
+
+// SyncStopped tells that a comparison ended before its last page, for lack of budget or because the other node failed.
+// Another one follows soon; it starts over, but the parts that agree by now cost nothing.
+func (m *Members) SyncStopped(now time.Time) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.syncAt = min(m.syncAt, now.Sub(m.start)+syncAgain)
+}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -6,6 +6,7 @@
 package fleet
 
 import (
+	"cmp"
 	"fmt"
 	"math/rand/v2"
 	"net/netip"
@@ -56,7 +57,9 @@
 	OnTick  func(n *Node, now time.Time)
 	OnHeard func(n *Node, now time.Time, p member.Packet, from mustardmast.NodeID)
 	OnEvent func(n *Node, now time.Time, c member.Change)
-	NoSync  bool                              // views are not compared
+	NoSync  bool // views are not compared
+	Rate    int  // control bytes per second and node; 0 takes the default
+	Burst   int
 	Drop    func(n *Node, s member.Send) bool // takes datagrams out that a naive variant would not send
 
 	now    time.Time
@@ -73,6 +76,9 @@
 	}
 }
 
+// At returns the node that runs at an address, or nil.
+func (f *Fleet) At(a netip.AddrPort) *Node { return f.byAddr[a] }
+
 // Now returns the virtual time.
 func (f *Fleet) Now() time.Time { return f.now }
 
@@ -81,7 +87,7 @@
 	if m.ID == 0 {
 		m.ID = mustardmast.NodeID(f.Rand.Uint64() | 1)
 	}
-	b := member.NewBucket(f.now, member.DefaultRate, member.DefaultBurst)
+	b := member.NewBucket(f.now, cmp.Or(f.Rate, member.DefaultRate), cmp.Or(f.Burst, member.DefaultBurst))
 	n := &Node{
 		Members: member.New(f.now, member.Settings{Self: m, Seeds: seeds, Bucket: b},
 			rand.New(rand.NewPCG(f.Rand.Uint64(), 2))),
@@ -227,6 +233,7 @@
 	for {
 		cost := 4*member.Buckets + rpcOverhead
 		if n.Bucket.Level(f.now) < cost+syncPage || to.Bucket.Level(f.now) < cost+syncPage {
+			n.SyncStopped(f.now)
 			return
 		}
 		updates, next := to.Page(ask)
--- a/io/control/client.go
+++ b/io/control/client.go
@@ -130,6 +130,7 @@
 	for page := 0; ; page++ {
 		now := c.s.Timers.Now()
 		if c.bucket.Level(now) < syncCost {
+			c.members.SyncStopped(now)
 			return
 		}
 		req.BucketHashes = c.members.Hashes()
@@ -137,6 +138,7 @@
 		resp, err := c.client.to(with[page%len(with)].Address).Sync(ctx, req)
 		cancel()
 		if err != nil {
+			c.members.SyncStopped(now)
 			return
 		}
 		began := time.Now()
--- a/io/control/control_test.go
+++ b/io/control/control_test.go
@@ -241,3 +241,26 @@
 		return len(n.Members().Serving("plug-ledger")) == len(nodes)-1
 	}))
 }
+
+// Guards against a node that finds nobody because its settings name no peer, and against a seeds object that nobody
+// keeps fresh.
+func TestSeedsObject(t *testing.T) {
+	t.Cleanup(func() { goleak.VerifyNone(t) })
+	p := newPlatform()
+	p.apply(t, 1, "change-1")
+	first := startNode(t, 0, p)
+	name := "seeds/" + first.s.Self.FailureDomain
+	stale := netip.MustParseAddrPort("127.0.0.1:9")
+	value, err := json.Marshal(seedsObject{Addresses: []netip.AddrPort{stale}})
+	assert.NilError(t, err)
+	_, err = p.Put(t.Context(), mustardmast.Object{Name: name, Value: value})
+	assert.NilError(t, err)
+	eventually(t, 6*time.Second, "the object was not refreshed", func() bool {
+		o, _ := p.Get(t.Context(), name)
+		return o.Version == 2
+	})
+	second := startNode(t, 1, p)
+	eventually(t, 8*time.Second, "no peer found", func() bool {
+		return len(second.Members().Serving("plug-ledger")) == 2 && len(first.Members().Serving("plug-ledger")) == 2
+	})
+}
