core/balance: callers with few calls learn from fewer samples

Ruled out: more hedging (the budget was not used up).

Change: a sample counts by the time since the last one; a high average fades over 5 s instead of 1 s without calls; samples are cut at 16 times the median; one quick probe ends an ejection for slowness.

--- a/core/balance/main_test.go
+++ b/core/balance/main_test.go
@@ -9,6 +9,7 @@
 // TestMain fixes the seed of generated checks, so that a failure in CI can be repeated. -rapid.seed sets another one.
 func TestMain(m *testing.M) {
 	flag.Parse()
+	setLength()
 	if f := flag.Lookup("rapid.seed"); f.Value.String() == "0" {
 		if err := f.Value.Set("1"); err != nil {
 			panic(err)
--- a/core/balance/member.go
+++ b/core/balance/member.go
@@ -43,7 +43,8 @@
 	out             bool
 }
 
-// expected returns the latency to expect of m at t. Without new samples it returns to the median: old evidence fades.
+// expected returns the latency to expect of m at t. Without new samples it returns to the median, because old evidence
+// fades; slowly, because a node that makes few calls would otherwise spend many of them on finding out again.
 func (m *member) expected(t time.Duration, s *Settings, median float64) float64 {
 	if m.latency == 0 {
 		if m.local {
@@ -58,23 +59,26 @@
 	if age < time.Millisecond {
 		return m.latency
 	}
-	return median + (m.latency-median)*math.Exp(-float64(age)/float64(s.Memory))
+	return median + (m.latency-median)*math.Exp(-float64(age)/float64(s.Fade))
 }
 
-// sample takes the latency of one answer into the average.
+// sample takes the latency of one answer into the average. The weight of a sample is the part of Memory since the last
+// one, so that rare samples count for more, and at least Rise for one that is higher.
 func (m *member) sample(t time.Duration, s *Settings, x, median float64) {
+	x = min(x, s.Ceiling*median)
 	old := m.expected(t, s, median)
+	w := 1 - math.Exp(-float64(max(t-m.sampled, 0))/float64(s.Memory))
 	switch {
 	case m.latency == 0:
 		m.latency = x
 	case x > old:
-		m.latency = old + s.Rise*(x-old)
-	case m.out:
-		// Answers of an ejected member are few; a quick one counts for more than its share of time.
-		m.latency = (old + x) / 2
+		w = max(w, s.Rise)
+		m.latency = old + w*(x-old)
+	case m.out && x < 2*median:
+		// One quick answer ends an ejection for slowness. A slow one begins it again soon.
+		m.latency = min(old, s.Outlier/2*median)
 	default:
-		w := math.Exp(-float64(max(t-m.sampled, 0)) / float64(s.Memory))
-		m.latency = old*w + x*(1-w)
+		m.latency = old + w*(x-old)
 	}
 	m.sampled = t
 }
--- a/core/balance/scenarios_test.go
+++ b/core/balance/scenarios_test.go
@@ -23,7 +23,7 @@
 
 // Guards against a new target that gets its full share while it is cold.
 func TestColdTargetStartsSlowly(t *testing.T) {
-	l := trace(*firstSeed, 6, 6, 0.6, mean, length)
+	l := trace(*firstSeed, 6, *simCall, 0.6, mean, length)
 	sc := scenario{domains: []string{"a"}, apply: joins}
 	with := simulate("balancer", sc, l, *firstSeed)
 	tweak = func(s *balance.Settings) { s.SlowStart = time.Nanosecond }
@@ -52,7 +52,7 @@
 
 // Guards against calls that fail, or go on being sent, to a failure domain that is lost.
 func TestLossOfADomain(t *testing.T) {
-	l := trace(*firstSeed, 6, 6, 0.5, mean, length)
+	l := trace(*firstSeed, 6, *simCall, 0.5, mean, length)
 	s := simulate("balancer", scenario{domains: []string{"a", "b", "c"}, apply: func(s *sim, _ *rand.Rand) {
 		s.at(faultAt, func() { s.targets[0].lost, s.targets[3].lost = true, true })
 	}}, l, *firstSeed)
--- a/core/balance/settings.go
+++ b/core/balance/settings.go
@@ -21,7 +21,9 @@
 	AssumedLatency  time.Duration // of a service without any answer; default 10 ms
 	AssumedCrossing time.Duration // added for a member of another domain without an answer; default 2 ms
 	Memory          time.Duration // time constant of the latency average; default 1 s
-	Rise            float64       // part of the way that the average moves to a higher sample; default 0.1, 1 is a pure peak
+	Fade            time.Duration // time constant with which a high average is forgotten without calls; default 5 s
+	Ceiling         float64       // multiple of the median at which samples are cut; default 16
+	Rise            float64       // least part of the way that the average moves to a higher sample; default 0.1, 1 is a pure peak
 
 	MaxLoadAge  time.Duration // older load reports are ignored; default 1 s
 	LoadMemory  time.Duration // time constant of the average of reported load; default 4 s
@@ -53,6 +55,8 @@
 		AssumedLatency:  10 * time.Millisecond,
 		AssumedCrossing: 2 * time.Millisecond,
 		Memory:          time.Second,
+		Fade:            5 * time.Second,
+		Ceiling:         16,
 		Rise:            0.1,
 
 		MaxLoadAge:  time.Second,
--- a/core/balance/variants_test.go
+++ b/core/balance/variants_test.go
@@ -45,17 +45,20 @@
 	firstSeed = flag.Uint64("sim.seed", 1, "first seed")
 	seeds     = flag.Int("sim.seeds", 1, "number of seeds")
 	simSlots  = flag.Int("sim.slots", 10, "slots per target; the goal is stated for about 100, which takes longer")
+	simCall   = flag.Int("sim.callers", 6, "callers, which share the calls evenly")
+	simLength = flag.Duration("sim.length", 10*time.Second, "length of a run")
 	baselines = flag.Bool("sim.baselines", false, "run the naive pickers too")
 )
 
 var tweak func(*balance.Settings) // changes the settings of all balancers of a run
 
-const (
-	mean   = 40 * time.Millisecond
-	length = 10 * time.Second
-	// faultAt leaves time for the hedge budget to fill: it starts empty and holds one reservation per call in flight.
-	faultAt = 3 * time.Second
-)
+const mean = 40 * time.Millisecond
+
+// length is the length of a run. The fault begins after three tenths of it, which leaves time for the hedge budget to
+// fill: it starts empty and holds one reservation per call in flight.
+var length, faultAt time.Duration
+
+func setLength() { length, faultAt = *simLength, *simLength*3/10 }
 
 // scenario is a fault that befalls target 0.
 type scenario struct {
@@ -76,10 +79,10 @@
 	}
 }
 
-// slows makes target 0 ten times slower between 3 s and 8 s.
+// slows makes target 0 ten times slower in the middle of the run.
 func slows(s *sim, _ *rand.Rand) {
 	s.targets[0].slow = func(t time.Duration) float64 {
-		if t > faultAt && t < 8*time.Second {
+		if t > faultAt && t < length*8/10 {
 			return 10
 		}
 		return 1
@@ -109,7 +112,7 @@
 	for _, t := range s.targets {
 		t.record(length)
 	}
-	callers := make([]*caller, 6)
+	callers := make([]*caller, *simCall)
 	for i := range callers {
 		d := sc.domains[i%len(sc.domains)]
 		callers[i] = &caller{domain: d, picker: pickers(variant, d, i)}
@@ -130,7 +133,7 @@
 		variants = append(variants, "least in flight", "round robin")
 	}
 	for seed := *firstSeed; seed < *firstSeed+uint64(*seeds); seed++ {
-		l := trace(seed, 6, 6, 0.6, mean, length)
+		l := trace(seed, 6, *simCall, 0.6, mean, length)
 		for _, domains := range [][]string{{"a"}, {"a", "b", "c"}} {
 			for _, v := range variants {
 				base := simulate(v, scenario{domains: domains, apply: none}, l, seed)
