core/ledger: clocks of different rates in the model; concurrent sends under the race detector

Cause: the model gave all hosts one clock, so it did not show that no promise rests on clocks, and it has one thread.

Change: each process of the model has its own clock, at 0.3 to 3 times the common rate. A test with many goroutines resends a few ids and is judged by internal/history. The search for a broken variant goes up to 1,000 sequences, because the variant without floors needs a copy that is hours late.

--- a/core/ledger/model_test.go
+++ b/core/ledger/model_test.go
@@ -1,12 +1,21 @@
 package ledger_test
 
 import (
+	"fmt"
 	"math/rand/v2"
+	"sync"
+	"sync/atomic"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
 
+	"mustardmast/core/fault"
+	"mustardmast/core/ledger"
+	"mustardmast/core/register"
+	"mustardmast/core/requestid"
+	"mustardmast/internal/history"
 	"mustardmast/internal/soak"
 )
 
@@ -43,6 +52,48 @@
 	})
 }
 
+// Guards against two handlers that hold one record, and against data races: many callers resend a few ids at once.
+func TestConcurrentSendsRunOnce(t *testing.T) {
+	s, g := fixture(ledger.DefaultLimits)
+	r := register.New(9, start, requestid.DefaultWindow, register.DefaultLimits)
+	var h history.Requests
+	var wg sync.WaitGroup
+	for _, id := range s.Issue(start, 20) {
+		var attempts atomic.Int64
+		for range 8 {
+			wg.Go(func() {
+				q := requestOf(id)
+				q.Attempt = int(attempts.Add(1))
+				told := h.Send(id.String(), q.Attempt)
+				d, err := g.Begin(start, q)
+				switch {
+				case err != nil:
+					told.Told(fault.From(err).Outcome(), "")
+					return
+				case d.Action == ledger.Replay:
+					told.Told(fault.Executed, string(d.Answer.Body))
+					return
+				}
+				defer g.Release(start, d.Ticket)
+				a, _, err := g.Dispatched(start, d.Ticket, 9)
+				if err != nil || q.Attempt%3 == 0 { // shed before it reaches the target
+					g.Returned(start, d.Ticket, a, 1)
+					told.Told(fault.NotExecuted, "")
+					return
+				}
+				if r.Start(start, a, time.Time{}) == nil {
+					body := fmt.Sprint(q.Attempt)
+					h.Execute(id.String(), body).End()
+					g.Done(start, d.Ticket, a, ledger.Answer{Status: 200, Body: []byte(body)})
+					told.Told(fault.Executed, body)
+				}
+			})
+		}
+	}
+	wg.Wait()
+	assert.NilError(t, h.Check())
+}
+
 // Guards against a model that would not notice that a mechanism is missing.
 func TestModelFindsMissingMechanisms(t *testing.T) {
 	for name, v := range map[string]variant{
@@ -55,7 +106,7 @@
 		"old attempts accepted":      {acceptOldAttempts: true},
 	} {
 		t.Run(name, func(t *testing.T) {
-			for seed := range uint64(200) {
+			for seed := range uint64(1000) {
 				rnd := rand.New(rand.NewPCG(seed, 1))
 				if err := run(newSim(v, rnd.IntN), 400); err != nil {
 					t.Logf("seed %d: %v", seed, err)
--- a/core/ledger/sim_node_test.go
+++ b/core/ledger/sim_node_test.go
@@ -30,7 +30,7 @@
 		q.Attempt = 1000 + len(n.s.ran) + n.s.count["begin"]
 	}
 	n.s.count["begin"]++
-	d, err := l.Begin(n.s.now, q)
+	d, err := l.Begin(n.now(), q)
 	h := &handler{n: n, ledger: l, r: r, ticket: d.Ticket, attempt: d.Attempt, reply: reply}
 	switch {
 	case err != nil:
@@ -59,7 +59,7 @@
 	if s.former[to] != 0 && s.pick(4) == 0 {
 		executor = s.former[to]
 	}
-	a, _, err := h.ledger.Dispatched(s.now, h.ticket, executor)
+	a, _, err := h.ledger.Dispatched(h.n.now(), h.ticket, executor)
 	if err != nil {
 		s.count[fault.KindOf(err).String()]++
 		h.end(fault.From(err).Outcome(), "")
@@ -78,7 +78,7 @@
 
 // execute is an attempt that has reached a node, perhaps as a copy, perhaps late.
 func (n *node) execute(h *handler, a ledger.Attempt, rest time.Duration, copied bool) {
-	s, deadline, here := n.s, n.s.now.Add(rest), a
+	s, deadline, here := n.s, n.now().Add(rest), a
 	if s.noIncarnationCheck {
 		here.Executor = n.id
 	}
@@ -98,19 +98,19 @@
 		if s.pick(8) == 0 {
 			err := error(fault.New(fault.Shed, ""))
 			if !s.noTombstone {
-				err = n.register.Refuse(s.now, here, err)
+				err = n.register.Refuse(n.now(), here, err)
 			}
 			answer(fault.From(err).Outcome(), fault.KindOf(err), "")
 			return
 		}
 		n.local(func() {
-			if err := n.register.Start(s.now, here, deadline); err != nil {
+			if err := n.register.Start(n.now(), here, deadline); err != nil {
 				s.count["start: "+fault.KindOf(err).String()]++
 				answer(fault.From(err).Outcome(), fault.KindOf(err), "")
 				return
 			}
 			if s.pick(8) == 0 {
-				n.register.Refused(s.now, here)
+				n.register.Refused(n.now(), here)
 				answer(fault.NotExecuted, fault.TargetRefused, "")
 				return
 			}
@@ -135,7 +135,7 @@
 	run := s.history.Execute(r.id.String(), body)
 	n.local(func() {
 		run.End()
-		n.register.Finish(s.now, here)
+		n.register.Finish(n.now(), here)
 		if s.pick(6) == 0 {
 			answer(fault.Unknown, fault.AnswerCut, "")
 			return
@@ -152,10 +152,10 @@
 	}
 	switch {
 	case o == fault.NotExecuted:
-		h.ledger.Returned(s.now, h.ticket, a, 3)
+		h.ledger.Returned(h.n.now(), h.ticket, a, 3)
 		h.again()
 	case o == fault.Executed && body != "":
-		h.ledger.Done(s.now, h.ticket, a, ledger.Answer{Status: 200, Body: []byte(body)})
+		h.ledger.Done(h.n.now(), h.ticket, a, ledger.Answer{Status: 200, Body: []byte(body)})
 		h.end(fault.Executed, body)
 	case o == fault.Executed:
 		h.settled(a, ledger.Executed)
@@ -169,9 +169,9 @@
 	s := h.n.s
 	switch {
 	case s.retryAfterUnknown:
-		h.ledger.Returned(s.now, h.ticket, h.attempt, 3)
+		h.ledger.Returned(h.n.now(), h.ticket, h.attempt, 3)
 		h.again()
-	case h.ledger.Lost(s.now, h.ticket, h.attempt):
+	case h.ledger.Lost(h.n.now(), h.ticket, h.attempt):
 		h.ask()
 	default:
 		h.end(fault.Unknown, "")
@@ -195,7 +195,7 @@
 	}
 	v := ledger.NotExecuted
 	if !n.s.noTombstone {
-		v = n.register.Withdraw(n.s.now, here)
+		v = n.register.Withdraw(n.now(), here)
 	} else if n.ranHere[here] {
 		v = ledger.Executed
 	}
@@ -213,7 +213,7 @@
 	if !slices.Contains(s.open, h) || h.attempt != a {
 		return
 	}
-	if err := h.ledger.Settled(s.now, h.ticket, a, v); err != nil {
+	if err := h.ledger.Settled(h.n.now(), h.ticket, a, v); err != nil {
 		h.end(fault.From(err).Outcome(), "")
 		return
 	}
@@ -235,7 +235,7 @@
 func (h *handler) end(o fault.Outcome, answer string) {
 	s := h.n.s
 	s.open = slices.DeleteFunc(s.open, func(o *handler) bool { return o == h })
-	h.ledger.Release(s.now, h.ticket)
+	h.ledger.Release(h.n.now(), h.ticket)
 	h.reply(o, answer)
 }
 
--- a/core/ledger/sim_test.go
+++ b/core/ledger/sim_test.go
@@ -51,6 +51,8 @@
 	id       mustardmast.NodeID
 	addr     int
 	paused   bool
+	boot     time.Time
+	percent  time.Duration // rate of its clock
 	issuer   *requestid.Issuer
 	ledger   *ledger.Ledger
 	register *register.Register
@@ -87,7 +89,7 @@
 
 func (s *sim) boot(addr int) {
 	id := mustardmast.NodeID(1000 + len(s.addr))
-	n := &node{s: s, id: id, addr: addr, ranHere: map[ledger.Attempt]bool{}}
+	n := &node{s: s, id: id, addr: addr, boot: s.now, percent: []time.Duration{30, 100, 100, 300}[s.pick(4)], ranHere: map[ledger.Attempt]bool{}}
 	n.issuer = requestid.New(id, requestid.Key{byte(id)}, s.now, requestid.DefaultWindow)
 	if s.homeByHash {
 		n.issuer = s.shared
@@ -108,6 +110,11 @@
 	s.addr[id] = addr
 }
 
+// now is the node's own clock. Clocks of hosts are unrelated: they start with the process and run at different rates.
+func (n *node) now() time.Time {
+	return n.boot.Add(n.s.now.Sub(n.boot) * n.percent / 100)
+}
+
 func (s *sim) limits() ledger.Limits {
 	if s.small {
 		return ledger.Limits{Records: 3, Bytes: 200, Answer: 100}
@@ -192,7 +199,7 @@
 
 func (s *sim) submit() {
 	n := s.nodes[s.pick(len(s.nodes))]
-	id := n.issuer.Issue(s.now, 1)[0]
+	id := n.issuer.Issue(n.now(), 1)[0]
 	if len(s.requests) > 0 && s.pick(4) == 0 { // a sub-call
 		text, err := requestid.Sub(s.requests[s.pick(len(s.requests))].id.String(), fmt.Sprintf("k%d", len(s.requests)))
 		if sub, ok := requestid.Parse(text); ok && err == nil {
