core: run the variants of both models in parallel

Cause: with the race detector on a busy machine core/quarantine took 19.9 s.

Change: the variants run in parallel.

--- a/core/ledger/model_test.go
+++ b/core/ledger/model_test.go
@@ -106,6 +106,7 @@
 		"old attempts accepted":      {acceptOldAttempts: true},
 	} {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
 			for seed := range uint64(1000) {
 				rnd := rand.New(rand.NewPCG(seed, 1))
 				if err := run(newSim(v, rnd.IntN), 400); err != nil {
--- a/core/quarantine/fleet_test.go
+++ b/core/quarantine/fleet_test.go
@@ -316,6 +316,7 @@
 		"several convicted by count": {rules{count: true}, 5, func(o outcome) bool { return o.crashes <= 4*5 && o.convicted > 0 }},
 	} {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
 			first := uint64(1)
 			end := time.Now()
 			if c.eager && soak.Duration() > 0 { // what a variant breaks is shown with one seed
