core/ledger, core/quarantine: interfaces that fit the shells

Cause: a node that is not the owner had to know by itself when it may answer not-executed; and Admit took node ids, which a shell would have had to collect from its members for each call.

Change: ledger.Elsewhere returns such a refusal with its outcome; quarantine takes the members that Directory.Serving returns. The hash of a request is computed before its shard is locked.

Conclusion: no call of either package on the data path needs a slice to be built.

--- a/core/ledger/ledger.go
+++ b/core/ledger/ledger.go
@@ -18,7 +18,7 @@
 // A refusal that a caller is told as not-executed must hold for its earlier sends too, which may still be on the way.
 // So a record remembers the highest attempt number that it has seen, and a pending record refuses sends with a number
 // that is not higher: a caller raises the number with each resend. For the same reason a node calls Begin before it
-// refuses a request for any other reason. A node that is not the owner can refuse only a first send with not-executed.
+// refuses a request for any other reason. A node that is not the owner refuses with Elsewhere.
 //
 // One retry budget belongs to the request. The first attempt is free; each further one, whether a node's retry or a
 // caller's resend asked for it, takes one unit. What is left is lent to the attempt and comes back with Returned.
@@ -136,33 +136,43 @@
 	if err := g.issuer.Verify(now, q.ID); err != nil {
 		return Decision{}, err
 	}
+	identity := identityOf(q)
 	s := g.shard(q.ID)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	g.sweep(s, now)
 	r := s.find(q.ID)
 	if r == nil {
-		if r = g.open(s, q); r == nil {
+		if r = g.open(s, q, identity); r == nil {
 			return Decision{}, full(q)
 		}
 		return Decision{Action: Dispatch, Ticket: r.claimFor(q.ID)}, nil
 	}
-	if r.identity != identityOf(q) {
+	if r.identity != identity {
 		return Decision{}, fault.New(fault.RequestIDReused, "first used with another method, backer or content")
 	}
 	return r.resend(q)
 }
 
-// full is the refusal of a new id. Without a record nothing keeps the earlier sends of this id out, so only a first
-// send can be told that it was not executed.
-func full(q Request) error {
-	e := fault.New(fault.LedgerFull, "the owner of the request id holds as many records as it may")
-	if q.Attempt > 1 {
+// Elsewhere returns the refusal of a send by a node that is not the owner of its id, or that reached no ledger.
+// Earlier sends of the id may have run or may still be on the way, so only a first send is told not-executed.
+func Elsewhere(attempt int, refusal error) error {
+	if refusal == nil {
+		return nil
+	}
+	e := fault.From(refusal)
+	if attempt > 1 && e.Outcome() == fault.NotExecuted {
 		return e.WithOutcome(fault.Unknown)
 	}
 	return e
 }
 
+// full is the refusal of a new id. Without a record nothing keeps the earlier sends of this id out, so only a first
+// send can be told that it was not executed.
+func full(q Request) error {
+	return Elsewhere(q.Attempt, fault.New(fault.LedgerFull, "the owner of the request id holds as many records as it may"))
+}
+
 // resend decides on a further send of a recorded request.
 func (r *record) resend(q Request) (Decision, error) {
 	late := q.Attempt <= int(r.seen)
@@ -187,7 +197,7 @@
 }
 
 // open adds a record for a new id, or returns nil when the ledger is full.
-func (g *Ledger) open(s *shard, q Request) *record {
+func (g *Ledger) open(s *shard, q Request, identity uint64) *record {
 	if g.records.Add(1) > int64(g.limits.Records) {
 		g.records.Add(-1)
 		return nil
@@ -196,7 +206,7 @@
 		g.records.Add(-1)
 		return nil
 	}
-	r := &record{seq: q.ID.Sequence(), keys: q.ID.Keys(), identity: identityOf(q), left: clamp(q.Retries), seen: clamp(q.Attempt)}
+	r := &record{seq: q.ID.Sequence(), keys: q.ID.Keys(), identity: identity, left: clamp(q.Retries), seen: clamp(q.Attempt)}
 	s.add(r)
 	at := slot(g.issuer.Expiry(q.ID), g.origin)
 	s.ends[at] = append(s.ends[at], r)
--- a/core/ledger/record.go
+++ b/core/ledger/record.go
@@ -44,7 +44,8 @@
 		n[4*i] = byte(v)
 		n[4*i+1] = byte(v >> 8)
 	}
-	d := xxhash.New()
+	var d xxhash.Digest
+	d.Reset()
 	_, _ = d.Write(n[:])
 	_, _ = d.WriteString(r.Service)
 	_, _ = d.WriteString(r.Method)
--- a/core/ledger/sim_test.go
+++ b/core/ledger/sim_test.go
@@ -228,11 +228,7 @@
 	}
 	entry.local(func() {
 		if s.pick(20) == 0 { // refused by the entry node
-			if attempt == 1 {
-				reply(fault.NotExecuted, "")
-			} else {
-				reply(fault.Unknown, "")
-			}
+			reply(fault.From(ledger.Elsewhere(attempt, fault.New(fault.Shed, ""))).Outcome(), "")
 			return
 		}
 		owner, ok := s.ownerOf(r.id)
--- a/core/quarantine/fleet_test.go
+++ b/core/quarantine/fleet_test.go
@@ -35,7 +35,7 @@
 	end     time.Time
 	queue   queue
 	targets []*target
-	ids     []mustardmast.NodeID
+	ready   []mustardmast.Member
 	crashes map[quarantine.Fingerprint]int // naive
 	outcome outcome
 }
@@ -145,14 +145,14 @@
 	f.after(f.between(0, 16*time.Millisecond), f.arrive)
 }
 
-func (f *fleet) up() []mustardmast.NodeID {
-	f.ids = f.ids[:0]
+func (f *fleet) up() []mustardmast.Member {
+	f.ready = f.ready[:0]
 	for _, t := range f.targets {
 		if t.up {
-			f.ids = append(f.ids, t.id)
+			f.ready = append(f.ready, mustardmast.Member{ID: t.id})
 		}
 	}
-	return f.ids
+	return f.ready
 }
 
 // submit is a send through any node.
@@ -175,7 +175,7 @@
 		}
 	}
 	for _, t := range f.targets {
-		if t.id == to {
+		if t.id == to.ID {
 			f.after(time.Millisecond, func() { f.execute(t, j) })
 		}
 	}
--- a/core/quarantine/news.go
+++ b/core/quarantine/news.go
@@ -134,19 +134,20 @@
 	return Mark{ID: m.id, Age: now.Sub(m.at)}
 }
 
-// Home returns the one node among serving that runs a suspect. All nodes with the same view choose alike, and
+// Home returns the one member among serving that runs a suspect. All nodes with the same view choose alike, and
 // different suspects are spread.
-func Home(f Fingerprint, serving []mustardmast.NodeID) (mustardmast.NodeID, bool) {
-	var home mustardmast.NodeID
-	var best uint64
-	found := false
-	for _, id := range serving {
+func Home(f Fingerprint, serving []mustardmast.Member) (mustardmast.Member, bool) {
+	home, best := -1, uint64(0)
+	for i, m := range serving {
 		var b [16]byte
 		binary.LittleEndian.PutUint64(b[0:], uint64(f))
-		binary.LittleEndian.PutUint64(b[8:], uint64(id))
-		if w := xxhash.Sum64(b[:]); !found || w > best {
-			home, best, found = id, w, true
+		binary.LittleEndian.PutUint64(b[8:], uint64(m.ID))
+		if w := xxhash.Sum64(b[:]); home < 0 || w > best {
+			home, best = i, w
 		}
 	}
-	return home, found
+	if home < 0 {
+		return mustardmast.Member{}, false
+	}
+	return serving[home], true
 }
--- a/core/quarantine/quarantine.go
+++ b/core/quarantine/quarantine.go
@@ -87,23 +87,23 @@
 }
 
 // Check decides at the node where a call enters. It returns an error for quarantined content. For a suspect it returns
-// the only node among serving that may run it, and true.
-func (q *Quarantine) Check(now time.Time, f Fingerprint, serving []mustardmast.NodeID) (mustardmast.NodeID, bool, error) {
+// the only member among serving that may run it, and true.
+func (q *Quarantine) Check(now time.Time, f Fingerprint, serving []mustardmast.Member) (mustardmast.Member, bool, error) {
 	switch q.State(now, f) {
 	case Quarantined:
-		return 0, false, refused()
+		return mustardmast.Member{}, false, refused()
 	case Suspect:
-		home, _ := Home(f, serving)
-		return home, true, nil
+		home, ok := Home(f, serving)
+		return home, ok, nil
 	default:
-		return 0, false, nil
+		return mustardmast.Member{}, false, nil
 	}
 }
 
 // Admit decides at the executing node, whose service is served by the nodes in serving. When alone is true, the node
 // gives the target no other work, waits until nothing is in flight there, runs the request and then calls Leave, which
 // it defers: until then Admit refuses everything else. All refusals are not-executed.
-func (q *Quarantine) Admit(now time.Time, f Fingerprint, serving []mustardmast.NodeID) (alone bool, err error) {
+func (q *Quarantine) Admit(now time.Time, f Fingerprint, serving []mustardmast.Member) (alone bool, err error) {
 	st := q.State(now, f)
 	if st == Quarantined {
 		return false, refused()
@@ -114,7 +114,7 @@
 	if st == Clear {
 		return false, nil
 	}
-	if home, ok := Home(f, serving); ok && home != q.self {
+	if home, ok := Home(f, serving); ok && home.ID != q.self {
 		return false, busy("a request that is suspected of crashing targets runs at one node only")
 	}
 	if !q.alone.CompareAndSwap(0, uint64(f)) {
--- a/core/quarantine/quarantine_test.go
+++ b/core/quarantine/quarantine_test.go
@@ -18,6 +18,14 @@
 
 const bad = quarantine.Fingerprint(77)
 
+func members(ids ...mustardmast.NodeID) []mustardmast.Member {
+	var l []mustardmast.Member
+	for _, id := range ids {
+		l = append(l, mustardmast.Member{ID: id, State: mustardmast.Ready})
+	}
+	return l
+}
+
 // Guards against a digest that depends on how a body arrives, and against contents that share one.
 func TestDigestOfAStream(t *testing.T) {
 	soak.Check(t, func(t *rapid.T) {
@@ -88,7 +96,7 @@
 // Guards against the conviction of what was only present, and against a culprit that is never convicted.
 func TestPathToQuarantine(t *testing.T) {
 	q := quarantine.New(1)
-	only := []mustardmast.NodeID{1}
+	only := members(1)
 	present := quarantine.Fingerprint(5)
 	for n := range uint32(3) {
 		q.Crashed(start, 2, n, []quarantine.Fingerprint{bad, present})
@@ -97,7 +105,7 @@
 	q.Completed(start.Add(time.Second), present)
 	assert.Equal(t, q.State(start.Add(time.Second), present), quarantine.Clear)
 
-	_, err := q.Admit(start, bad, []mustardmast.NodeID{2})
+	_, err := q.Admit(start, bad, members(2))
 	assert.Equal(t, fault.KindOf(err), fault.Shed)
 	alone, err := q.Admit(start, bad, only)
 	assert.Assert(t, alone && err == nil)
@@ -213,7 +221,7 @@
 	q := quarantine.New(1)
 	q.Crashed(start, 2, 1, []quarantine.Fingerprint{bad})
 	q.Crashed(start, 2, 2, []quarantine.Fingerprint{bad})
-	_, err := q.Admit(start, bad, []mustardmast.NodeID{1})
+	_, err := q.Admit(start, bad, members(1))
 	assert.NilError(t, err)
 	q.Crashed(start, 1, 1, []quarantine.Fingerprint{bad})
 	q.Leave(bad)
@@ -241,7 +249,7 @@
 	here.Merge(start, there.Digest(start, 1000))
 	fmt.Println(here.State(start, f))
 
-	alone, _ := here.Admit(start, f, []mustardmast.NodeID{1})
+	alone, _ := here.Admit(start, f, members(1))
 	here.Crashed(start, 1, 2, []quarantine.Fingerprint{f})
 	here.Leave(f)
 	fmt.Println(alone, here.State(start, f))
@@ -253,7 +261,7 @@
 
 func BenchmarkAdmitAndComplete(b *testing.B) {
 	q := quarantine.New(1)
-	serving := []mustardmast.NodeID{1, 2, 3}
+	serving := members(1, 2, 3)
 	b.ReportAllocs()
 	b.RunParallel(func(pb *testing.PB) {
 		f := quarantine.Fingerprint(1)
