--- a/core/quarantine/quarantine_test.go
+++ b/core/quarantine/quarantine_test.go
@@ -18,6 +18,14 @@
 
 const bad = quarantine.Fingerprint(77)
 
+func members(ids ...mustardmast.NodeID) []mustardmast.Member {
+	var l []mustardmast.Member
+	for _, id := range ids {
+		l = append(l, mustardmast.Member{ID: id, State: mustardmast.Ready})
+	}
+	return l
+}
+
 // Guards against a digest that depends on how a body arrives, and against contents that share one.
 func TestDigestOfAStream(t *testing.T) {
 	soak.Check(t, func(t *rapid.T) {
@@ -71,9 +79,6 @@
 				b.Merge(start, news[i:i+1])
 			}
 		}
-		// Crashes before a clear may be held or dropped; what is sent and decided must agree after one exchange.
-		a.Merge(start, b.About(start, []quarantine.Fingerprint{bad}))
-		b.Merge(start, a.About(start, []quarantine.Fingerprint{bad}))
 		assert.DeepEqual(t, a.About(start, []quarantine.Fingerprint{bad}), b.About(start, []quarantine.Fingerprint{bad}))
 		assert.Equal(t, a.State(start, bad), b.State(start, bad))
 		assert.Assert(t, !a.Merge(start, b.Digest(start, 1000)))
@@ -91,7 +96,7 @@
 // Guards against the conviction of what was only present, and against a culprit that is never convicted.
 func TestPathToQuarantine(t *testing.T) {
 	q := quarantine.New(1)
-	only := []mustardmast.NodeID{1}
+	only := members(1)
 	present := quarantine.Fingerprint(5)
 	for n := range uint32(3) {
 		q.Crashed(start, 2, n, []quarantine.Fingerprint{bad, present})
@@ -100,7 +105,7 @@
 	q.Completed(start.Add(time.Second), present)
 	assert.Equal(t, q.State(start.Add(time.Second), present), quarantine.Clear)
 
-	_, err := q.Admit(start, bad, []mustardmast.NodeID{2})
+	_, err := q.Admit(start, bad, members(2))
 	assert.Equal(t, fault.KindOf(err), fault.Shed)
 	alone, err := q.Admit(start, bad, only)
 	assert.Assert(t, alone && err == nil)
@@ -108,7 +113,9 @@
 		_, err = q.Admit(start.Add(time.Second), f, only)
 		assert.Equal(t, fault.KindOf(err), fault.Shed, "%d runs beside a suspect", f)
 	}
-	q.Crashed(start, 1, 1, []quarantine.Fingerprint{bad})
+	q.Crashed(start, 1, 1, []quarantine.Fingerprint{bad, 6}) // while bad waits for the target to become idle
+	assert.Equal(t, q.State(start, bad), quarantine.Suspect)
+	q.Crashed(start, 1, 2, []quarantine.Fingerprint{bad})
 	q.Leave(bad)
 	_, err = q.Admit(start, bad, only)
 	assert.Equal(t, fault.KindOf(err), fault.Quarantined)
@@ -137,6 +144,18 @@
 		assert.Equal(t, q.State(now, bad), quarantine.Clear)
 		assert.Equal(t, len(q.List(now)), 0)
 	}
+	// News of the old crashes that was held up for a minute makes them look younger than the clear.
+	held := b.About(start.Add(time.Second), []quarantine.Fingerprint{bad})
+	d := quarantine.New(4)
+	now = now.Add(time.Minute)
+	for _, q := range []*quarantine.Quarantine{c, d} {
+		q.Merge(now, held)
+		q.Merge(now, a.About(now, []quarantine.Fingerprint{bad}))
+		a.Merge(now, q.About(now, []quarantine.Fingerprint{bad}))
+	}
+	for _, q := range []*quarantine.Quarantine{a, c, d} {
+		assert.Equal(t, q.State(now, bad), quarantine.Clear)
+	}
 	later := now.Add(5 * time.Second)
 	for n := range uint32(2) {
 		c.Crashed(later, 3, n, []quarantine.Fingerprint{bad})
@@ -145,12 +164,64 @@
 	assert.Equal(t, a.State(later, bad), quarantine.Suspect)
 }
 
+// Guards against a conviction without a crash of a target that ran nothing else, and against a clear that does not
+// last, for any order of crashes, completions, clears and delayed news between five nodes.
+func TestNobodyIsConvictedByPresence(t *testing.T) {
+	soak.Check(t, func(t *rapid.T) {
+		now := start
+		nodes, mail := make([]*quarantine.Quarantine, 5), make([][]quarantine.News, 5)
+		for i := range nodes {
+			nodes[i] = quarantine.New(mustardmast.NodeID(i + 1))
+		}
+		pick := func(n int) int { return rapid.SampledFrom(indexes(n)).Draw(t, "pick") }
+		deliver := func(i int) {
+			nodes[i].Merge(now, mail[i])
+			mail[i] = nil
+		}
+		send := func(from, to int) {
+			mail[to] = append(mail[to], nodes[from].Digest(now, 400)...)
+		}
+		for n := range uint32(60) {
+			now = now.Add(time.Duration(pick(1000)) * time.Millisecond)
+			i := pick(5)
+			switch pick(6) {
+			case 0:
+				nodes[i].Crashed(now, mustardmast.NodeID(i+1), n, []quarantine.Fingerprint{bad, 5, 6}[:2+pick(2)])
+			case 1:
+				nodes[i].Completed(now, quarantine.Fingerprint(5+pick(2)))
+			case 2:
+				send(i, pick(5))
+			default: // whatever is on its way, for however long
+				deliver(i)
+			}
+			for _, q := range nodes {
+				for _, it := range q.List(now) {
+					assert.Assert(t, it.State != quarantine.Quarantined)
+				}
+			}
+		}
+		nodes[pick(5)].Lift(now, bad)
+		for range 5 {
+			for i := range 25 {
+				mail[i%5] = append(mail[i%5], nodes[i/5].About(now, []quarantine.Fingerprint{bad})...)
+			}
+			now = now.Add(200 * time.Millisecond)
+			for i := range nodes {
+				deliver(i)
+			}
+		}
+		for i, q := range nodes {
+			assert.Equal(t, q.State(now, bad), quarantine.Clear, "node %d", i)
+		}
+	})
+}
+
 // Guards against growth past the bounds, and against conviction that a flood of evidence pushes out.
 func TestFullTableKeepsTheConvicted(t *testing.T) {
 	q := quarantine.New(1)
 	q.Crashed(start, 2, 1, []quarantine.Fingerprint{bad})
 	q.Crashed(start, 2, 2, []quarantine.Fingerprint{bad})
-	_, err := q.Admit(start, bad, []mustardmast.NodeID{1})
+	_, err := q.Admit(start, bad, members(1))
 	assert.NilError(t, err)
 	q.Crashed(start, 1, 1, []quarantine.Fingerprint{bad})
 	q.Leave(bad)
@@ -178,7 +249,7 @@
 	here.Merge(start, there.Digest(start, 1000))
 	fmt.Println(here.State(start, f))
 
-	alone, _ := here.Admit(start, f, []mustardmast.NodeID{1})
+	alone, _ := here.Admit(start, f, members(1))
 	here.Crashed(start, 1, 2, []quarantine.Fingerprint{f})
 	here.Leave(f)
 	fmt.Println(alone, here.State(start, f))
@@ -190,7 +261,7 @@
 
 func BenchmarkAdmitAndComplete(b *testing.B) {
 	q := quarantine.New(1)
-	serving := []mustardmast.NodeID{1, 2, 3}
+	serving := members(1, 2, 3)
 	b.ReportAllocs()
 	b.RunParallel(func(pb *testing.PB) {
 		f := quarantine.Fingerprint(1)
