--- a/core/admit/admit.go
+++ b/core/admit/admit.go
@@ -26,7 +26,7 @@
 
 const (
 	// DefaultWait is the bound on the time in the queue. A longer wait costs the caller more than a retry elsewhere.
-	DefaultWait = 100 * time.Millisecond
+	DefaultWait = 50 * time.Millisecond
 	// longWait is the bound for long jobs, which wait for one of few slots.
 	longWait = 2 * time.Second
 	// minQueue is the bound on the queue's length for a target with few slots.
@@ -37,7 +37,7 @@
 	minRelative = 0.1
 	// marginPercent is the margin of calls from other hops. Levels of targets that serve a hundred calls a second of one
 	// kind differ by a tenth or two.
-	marginPercent = 25
+	marginPercent = 60
 	// shedRetryAfter is what a shed caller is told to wait: the time in which levels change noticeably.
 	shedRetryAfter = time.Second
 )
@@ -139,7 +139,7 @@
 		return refuse(w.Ticket, fault.DeadlinePassed, 0)
 	}
 	b, p, cohort := a.share.Index(w.Call.Backer()), w.Call.Priority(), w.Call.Cohort()
-	a.shed.Arrived(p, b, cohort, w.Withheld)
+	a.shed.Arrived(p, b, cohort, w.Withheld, w.Call.Attempt())
 	if cohort >= admitted(a.shed.Level(p, b), w.Call.Depth()) {
 		return refuse(w.Ticket, fault.Shed, shedRetryAfter)
 	}
--- a/core/level/below.go
+++ b/core/level/below.go
@@ -78,3 +78,21 @@
 	}
 	return l
 }
+
+// Admit reports whether a call may start, given the levels of its sub-calls. A call below the first hop is not refused:
+// work has been done for it already. From time to time a call above the level is let through, because a node that
+// starts none would never learn that the level has risen.
+func (b *Below) Admit(now time.Time, t *Table, c call.Call) bool {
+	if c.Depth() > 1 {
+		return true
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for k, part := range b.methods[c.Method()] {
+		if part >= usualPart && c.Cohort() >= int(t.Level(now, k.service, k.method, c.Priority(), c.Backer())) &&
+			!t.trial(now, k.service, k.method, c.Priority(), c.Backer()) {
+			return false
+		}
+	}
+	return true
+}
--- a/core/level/level.go
+++ b/core/level/level.go
@@ -31,6 +31,8 @@
 	Expiry = 2 * time.Second
 	// probeEvery is the time after which one call is forwarded although its cohort is above the level.
 	probeEvery = 100 * time.Millisecond
+	// trialEvery is the same for calls that would do work before they reach the level; see Below.
+	trialEvery = time.Second
 	// DefaultSize bounds the table: about 100 methods with 4 priorities and 10 backers.
 	DefaultSize = 4096
 	shards      = 16
@@ -38,11 +40,11 @@
 	// constant, and by leastPart at least. A chain adds up the delays of its hops; with ten times as much, the levels
 	// at the entry swung around those of the last hop.
 	memory    = 100 * time.Millisecond
-	leastPart = 0.1
+	leastPart = 0.05
 	// boundPart is the part of the whole range that an answer may move the level, in relation to the same growth.
 	boundPart = 0.3
 	// marginPercent is the margin for calls below the first hop, for which work has been done already.
-	marginPercent = 25
+	marginPercent = 60
 )
 
 // Spec has the parts of a Table by name.
@@ -74,6 +76,7 @@
 	level     float64
 	learned   time.Time
 	forwarded time.Time
+	trial     time.Time
 	withheld  uint32
 }
 
@@ -158,6 +161,22 @@
 	return mustardmast.FullLevel
 }
 
+// trial reports whether a call that is above a level may start all the same, to find out whether the level still holds.
+func (t *Table) trial(now time.Time, service, method string, p call.Priority, backer string) bool {
+	s := t.shard(service)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	e := s.entries[key{service, method, p, t.share.Index(backer)}]
+	if e == nil {
+		return true
+	}
+	if now.Sub(e.trial) < trialEvery {
+		return false
+	}
+	e.trial = now
+	return true
+}
+
 // Admit reports whether a call may be forwarded to its service. Carried is the number of withheld calls that came with
 // the call that this one belongs to, 0 at the entry. For a forwarded call it returns the number to send with it; for
 // a refused one the number is kept for the next.
--- a/core/shed/shed.go
+++ b/core/shed/shed.go
@@ -38,14 +38,18 @@
 	// Window is the time between two adjustments.
 	Window = 100 * time.Millisecond
 	// memory is the time constant of the demand averages. A target sees a few dozen requests of a kind in it.
-	memory = 600 * time.Millisecond
+	memory = 1200 * time.Millisecond
 	// enough is the number of arrivals in memory above which their mean cohort is used.
 	enough   = 8
 	deadBand = 2
+	// fallPart is the part of the way to a lower target that a level goes in a window.
+	fallPart = 0.3
+	// againWeight is what a later attempt of a request counts for.
+	againWeight = 0.5
 	// freePart is the part of the free slots that a rise of one level may take in a window. Arrivals follow a level with
 	// about six windows of delay; with a quarter, levels overshot after a surge.
 	freePart = 0.15
-	gainMin  = 0.8
+	gainMin = 0.97
 	gainMax  = 1.5
 	// ownPart is how near the range of arriving cohorts must be to a level for the level to be what limits them.
 	ownPart = 0.75
@@ -89,12 +93,18 @@
 	return mustardmast.Level(d.kinds[min(p, call.Priorities-1)][backer].level)
 }
 
-// Arrived counts one request, and those that its sender withheld since the last one.
-func (d *Shed) Arrived(p call.Priority, backer, cohort int, withheld uint32) {
+// Arrived counts one request, and those that its sender withheld since the last one. A later attempt of a request counts
+// for less than the first: however often it is sent, it takes a slot for one answer, and counting what comes back after
+// a refusal in full would lower the level and so refuse more.
+func (d *Shed) Arrived(p call.Priority, backer, cohort int, withheld uint32, attempt int) {
 	k := &d.kinds[min(p, call.Priorities-1)][backer]
-	k.arrived++
-	k.cohorts += float64(cohort)
+	weight := 1.0
+	if attempt > 1 {
+		weight = againWeight
+	}
 	k.withheld += float64(withheld)
+	k.arrived += weight
+	k.cohorts += weight * float64(cohort)
 }
 
 // Ran counts the time that one request held a slot.
@@ -231,7 +241,7 @@
 	case target >= k.level+1:
 		k.level = math.Floor(min(target, k.level+rise))
 	case target <= k.level-deadBand || target < 1:
-		k.level = math.Floor(target)
+		k.level = max(math.Floor(k.level-max((k.level-target)*fallPart, 1)), 0)
 	}
 }
 
@@ -240,7 +250,7 @@
 	switch {
 	case !limited:
 		d.gain += (1 - d.gain) * 0.2
-	case s.Refused > 0.02 || s.Waited:
+	case s.Refused > 0.05 || s.Waited:
 		d.gain *= 1 - 0.005
 	case s.Empty && s.Busy < s.Limit*0.98:
 		d.gain *= 1.01
--- a/internal/measure/leg.go
+++ b/internal/measure/leg.go
@@ -19,6 +19,7 @@
 	deadline time.Duration
 	depth    int
 	carried  uint32
+	attempt  int // of the call that this one belongs to
 	tried    []mustardmast.NodeID
 	retries  int
 	open     []*attempt
@@ -41,7 +42,7 @@
 
 func (l *leg) call() call.Call {
 	q := l.req
-	c := call.Spec{ID: q.id, Service: l.service, Method: "to " + strings.Join(l.rest, "/"), Backer: q.backer, Priority: q.priority, Attempt: 1,
+	c := call.Spec{ID: q.id, Service: l.service, Method: "to " + strings.Join(l.rest, "/"), Backer: q.backer, Priority: q.priority, Attempt: l.attempt + l.retries,
 		Deadline: epoch.Add(l.deadline), Depth: l.depth, Idempotent: true, Long: q.long}
 	if q.long {
 		c.Method = "job"
@@ -116,7 +117,9 @@
 		if l.done || len(l.open) != 1 || l.open[0].over || l.w.now >= l.deadline || !l.from.hedge(l.service) {
 			return
 		}
-		if l.try(c, 0) {
+		s := c.Spec()
+		s.Attempt++
+		if l.try(call.New(s), 0) {
 			l.w.hedges++
 		}
 	})
--- a/internal/measure/picker.go
+++ b/internal/measure/picker.go
@@ -36,6 +36,7 @@
 	inFlight int
 	latency  float64   // seconds, moving average that rises at once
 	since    time.Time // start of the present time without an answer
+	queued   float64   // last report, in relation to the limit
 	avoid    time.Time // end of the time in which a member that refused is not chosen
 }
 
@@ -111,7 +112,7 @@
 
 func (p *twoChoices) cost(now time.Time, id mustardmast.NodeID, t *tail) float64 {
 	s := p.of(id)
-	c := (s.latency + 1e-3) * float64(s.inFlight+1)
+	c := (s.latency + 1e-3) * float64(s.inFlight+1) * (1 + 4*s.queued)
 	if now.Before(s.avoid) {
 		c *= 100
 	}
@@ -127,8 +128,12 @@
 	if r.Kind == fault.Canceled {
 		return
 	}
-	if r.Kind == fault.QueueFull {
-		// A member that refuses has few calls in flight and would attract all of them.
+	if r.HasLoad {
+		s.queued = float64(r.Load.Queued) / float64(r.Load.Limit)
+	}
+	if r.Kind == fault.QueueFull && r.Load.Limit <= 1 {
+		// A stalled member has few calls in flight and would attract all of them. A busy one is not avoided, because all
+		// senders would avoid it at the same time.
 		s.avoid = now.Add(avoidFor)
 		return
 	}
--- a/internal/measure/target.go
+++ b/internal/measure/target.go
@@ -74,7 +74,7 @@
 
 func (t *target) offer(e *exec) {
 	now, c := t.w.time(), e.call
-	if c.Depth() == 1 && c.Cohort() >= int(t.below(c)) {
+	if !t.node.below.Admit(now, t.node.table, c) {
 		t.answer(e, fault.Shed, false)
 		return
 	}
@@ -168,7 +168,7 @@
 	}
 	from := t.w.now
 	l := &leg{w: t.w, from: t.node, req: e.leg.req, service: e.leg.rest[0], rest: e.leg.rest[1:], deadline: e.leg.deadline,
-		depth: e.leg.depth + 1, carried: e.withheld}
+		depth: e.leg.depth + 1, carried: e.withheld, attempt: e.call.Attempt()}
 	l.reply = func(r result) {
 		if e.ended {
 			return
@@ -182,6 +182,9 @@
 
 func (t *target) complete(e *exec, k fault.Kind, deep bool) {
 	e.ended = true
+	if t.w.used != nil {
+		t.w.used(e, k.String())
+	}
 	t.inside--
 	t.busy--
 	if k == fault.None {
--- a/internal/measure/world.go
+++ b/internal/measure/world.go
@@ -39,6 +39,7 @@
 	retries  int
 	hedges   int
 	debug    func(svc, where, k string)
+	used     func(e *exec, k string)
 	requests []*request
 }
 
@@ -174,7 +175,7 @@
 	runs      int
 	ended     bool
 	ok        bool
-	refused   bool
+	last      fault.Kind
 	end       time.Duration
 }
 
@@ -196,7 +197,7 @@
 			}
 			q.left--
 		}
-		l := &leg{w: w, from: q.entry, req: q, service: q.path[0], rest: q.path[1:], depth: 1, deadline: over - q.toCaller}
+		l := &leg{w: w, from: q.entry, req: q, service: q.path[0], rest: q.path[1:], depth: 1, attempt: q.tries, deadline: over - q.toCaller}
 		l.reply = func(r result) { q.answer(r.kind) }
 		l.send()
 		q.forwarded = q.forwarded || len(l.tried) > 0
@@ -214,7 +215,7 @@
 			q.ended, q.ok = true, w.now <= q.at+q.deadline
 			return
 		}
-		q.refused = true
+		q.last = k
 		wait := callerWait/2 + time.Duration(w.jitter.Float64()*float64(callerWait))
 		if q.tries >= callerTries || w.now+wait >= q.at+q.deadline {
 			q.ended = true
