--- a/core/shed/shed.go
+++ b/core/shed/shed.go
@@ -37,19 +37,24 @@
 const (
 	// Window is the time between two adjustments.
 	Window = 100 * time.Millisecond
-	// memory is the time constant of the demand averages. A target sees a few dozen requests of a kind in it.
-	memory = 1200 * time.Millisecond
+	// memory is the time constant of the demand averages, quick the one that replaces it when the demand has changed by
+	// more than chance. What is left for the lowest admitted priority is a difference of large figures; with 600 ms it
+	// varied by a quarter from one moment to the next, and with 1200 ms alone a surge was answered two seconds late.
+	memory = 700 * time.Millisecond
+	quick  = 300 * time.Millisecond
+	// surprise is the number of standard deviations of a Poisson count that is not taken for chance.
+	surprise = 2
 	// enough is the number of arrivals in memory above which their mean cohort is used.
 	enough   = 8
 	deadBand = 2
 	// fallPart is the part of the way to a lower target that a level goes in a window.
 	fallPart = 0.3
 	// againWeight is what a later attempt of a request counts for.
-	againWeight = 0.5
+	againWeight = 1
 	// freePart is the part of the free slots that a rise of one level may take in a window. Arrivals follow a level with
 	// about six windows of delay; with a quarter, levels overshot after a surge.
 	freePart = 0.15
-	gainMin = 0.97
+	gainMin  = 0.97
 	gainMax  = 1.5
 	// ownPart is how near the range of arriving cohorts must be to a level for the level to be what limits them.
 	ownPart = 0.75
@@ -59,12 +64,18 @@
 type kind struct {
 	arrived, withheld float64 // in this window
 	cohorts           float64 // sum over arrived
-	rate, held        float64 // per second, averaged
-	mean              float64 // mean cohort, averaged
+	recent            average // over quick
+	average                   // over memory
 	slotTime          float64 // seconds that one call holds a slot, averaged
 	level             float64
 }
 
+// average is the demand of a kind over some time.
+type average struct {
+	rate, held float64 // per second
+	mean       float64 // mean cohort
+}
+
 // Shed holds the levels of one target. Use New.
 type Shed struct {
 	share    *share.Share
@@ -83,6 +94,7 @@
 		for b := range d.kinds[p] {
 			d.kinds[p][b].level = call.Cohorts
 			d.kinds[p][b].mean = (call.Cohorts - 1) / 2.0
+			d.kinds[p][b].recent.mean = (call.Cohorts - 1) / 2.0
 		}
 	}
 	return d
@@ -110,11 +122,11 @@
 // Ran counts the time that one request held a slot.
 func (d *Shed) Ran(p call.Priority, backer int, held time.Duration) {
 	k := &d.kinds[min(p, call.Priorities-1)][backer]
-	average(&k.slotTime, held.Seconds(), 1.0/64)
-	average(&d.slotTime, held.Seconds(), 1.0/256)
+	move(&k.slotTime, held.Seconds(), 1.0/64)
+	move(&d.slotTime, held.Seconds(), 1.0/256)
 }
 
-func average(to *float64, v, weight float64) {
+func move(to *float64, v, weight float64) {
 	if *to == 0 {
 		*to = v
 		return
@@ -134,13 +146,12 @@
 
 // Advance ends a window and sets the levels.
 func (d *Shed) Advance(s State) {
-	w := 1 - math.Exp(-s.Elapsed.Seconds()/memory.Seconds())
 	rest := s.Limit * d.gain
 	limited := false
 	for p := range d.kinds {
 		for b := range d.kinds[p] {
 			k := &d.kinds[p][b]
-			k.advance(s.Elapsed.Seconds(), w)
+			k.advance(s.Elapsed)
 			d.demand[b] = k.demand() * d.slotTimeOf(k)
 		}
 		rest = d.share.Split(rest, d.demand, d.alloc)
@@ -174,19 +185,29 @@
 	return d.slotTime
 }
 
-func (k *kind) advance(seconds, weight float64) {
-	if seconds <= 0 {
+func (k *kind) advance(elapsed time.Duration) {
+	if elapsed <= 0 {
 		return
 	}
-	before := k.rate * (1 - weight)
-	k.rate = before + k.arrived/seconds*weight
-	k.held += (k.withheld/seconds - k.held) * weight
-	if k.arrived > 0 && k.rate > 0 {
-		k.mean += (k.cohorts/k.arrived - k.mean) * (k.rate - before) / k.rate
+	k.recent.add(k, elapsed, quick)
+	k.add(k, elapsed, memory)
+	counted := max(k.recent.rate, k.rate) * quick.Seconds()
+	if math.Abs(k.recent.rate-k.rate)*quick.Seconds() > surprise*math.Sqrt(counted)+1 {
+		k.average = k.recent
 	}
 	k.arrived, k.withheld, k.cohorts = 0, 0, 0
 }
 
+func (a *average) add(k *kind, elapsed, constant time.Duration) {
+	weight := 1 - math.Exp(-elapsed.Seconds()/constant.Seconds())
+	before := a.rate * (1 - weight)
+	a.rate = before + k.arrived/elapsed.Seconds()*weight
+	a.held += (k.withheld/elapsed.Seconds() - a.held) * weight
+	if k.arrived > 0 && a.rate > 0 {
+		a.mean += (k.cohorts/k.arrived - a.mean) * (a.rate - before) / a.rate
+	}
+}
+
 // span returns the range of cohorts that arrive, and false when there are too few arrivals to tell.
 func (k *kind) span() (float64, bool) {
 	return min(2*k.mean+1, call.Cohorts), k.rate*memory.Seconds() >= enough
