--- a/cmd/mustardmast/main.go
+++ b/cmd/mustardmast/main.go
@@ -3,22 +3,16 @@
 
 import (
 	"context"
-	"crypto/rand"
-	"encoding/hex"
 	"fmt"
 	"os"
 	"os/signal"
-	"os/user"
 	"runtime/debug"
 	"syscall"
 
 	"github.com/jessevdk/go-flags"
 
-	"mustardmast"
 	"mustardmast/daemon"
 	"mustardmast/io/cli"
-	"mustardmast/io/operator"
-	"mustardmast/io/platform"
 	"mustardmast/io/settings"
 	"mustardmast/io/tick"
 )
@@ -58,7 +52,7 @@
 func run(args []string) int {
 	t := tick.New()
 	defer t.Close()
-	env := environment(t)
+	env := cli.Process(t)
 	g := globals{Version: func() {
 		fmt.Println("mustardmast", versionText())
 		os.Exit(cli.Done)
@@ -76,27 +70,6 @@
 	return cli.Finish(env, err)
 }
 
-func environment(t *tick.Service) cli.Env {
-	e := cli.Env{
-		Out: os.Stdout, Err: os.Stderr, In: os.Stdin, Clock: t, NewID: newID,
-		Platform: func(url string) (mustardmast.Platform, error) { return platform.New(platform.Settings{URL: url}) },
-		Node: func(address string) (*operator.Client, error) {
-			return operator.NewClient(address, operator.DefaultTimeout)
-		},
-	}
-	if u, err := user.Current(); err == nil {
-		e.User = u.Username
-	}
-	return e
-}
-
-// newID returns a change id. Random, because operators share nothing that could count.
-func newID() string {
-	b := make([]byte, 12)
-	_, _ = rand.Read(b) // crypto/rand never fails
-	return hex.EncodeToString(b)
-}
-
 func versionText() string {
 	if version != "" {
 		return version
--- a/core/level/level.go
+++ b/core/level/level.go
@@ -183,7 +183,7 @@
 	s := t.shard(service)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	e := s.entries[key{service, method, p, t.share.Index(backer)}]
+	e := s.entries[key{service, method, p, t.share.Load().Index(backer)}]
 	if e == nil {
 		return true
 	}
--- a/io/dispatch/repeat.go
+++ b/io/dispatch/repeat.go
@@ -117,20 +117,11 @@
 	if d.p.Quarantine.State(now, f) == quarantine.Clear {
 		return nil, false, nil
 	}
-	ids := make([]mustardmast.NodeID, len(members))
-	for i, m := range members {
-		ids[i] = m.ID
-	}
-	id, only, err := d.p.Quarantine.Check(now, f, ids)
+	m, only, err := d.p.Quarantine.Check(now, f, members)
 	if err != nil || !only {
 		return nil, only, err
 	}
-	for i, m := range members {
-		if m.ID == id {
-			return members[i : i+1 : i+1], true, nil
-		}
-	}
-	return nil, true, nil
+	return []mustardmast.Member{m}, true, nil
 }
 
 // sendOptions are the rarely used parts of a send.
--- a/io/execute/run.go
+++ b/io/execute/run.go
@@ -4,7 +4,6 @@
 	"context"
 	"time"
 
-	"mustardmast"
 	"mustardmast/core/fault"
 	"mustardmast/io/message"
 )
@@ -26,7 +25,7 @@
 // quarantine refuses content that crashes targets, and lets a suspect wait until it is alone.
 func (u *run) quarantine(ctx context.Context) error {
 	x := u.x
-	alone, err := x.p.Quarantine.Admit(x.p.Clock.Now(), u.e.fingerprint, serving(x.p.Members, u.r.Call.Service()))
+	alone, err := x.p.Quarantine.Admit(x.p.Clock.Now(), u.e.fingerprint, x.p.Members.Serving(u.r.Call.Service()))
 	if err != nil {
 		return err
 	}
@@ -62,13 +61,3 @@
 	}
 	x.release(u.ticket, latency, fault.KindOf(err))
 }
-
-// serving returns the nodes that serve a service, for the choice of the one that runs a suspect.
-func serving(d mustardmast.Directory, service string) []mustardmast.NodeID {
-	ms := d.Serving(service)
-	ids := make([]mustardmast.NodeID, len(ms))
-	for i, m := range ms {
-		ids[i] = m.ID
-	}
-	return ids
-}
--- a/io/header/answer.go
+++ b/io/header/answer.go
@@ -1,6 +1,7 @@
 package header
 
 import (
+	"encoding/json"
 	"net/http"
 	"strconv"
 	"strings"
@@ -10,9 +11,17 @@
 	"mustardmast/core/fault"
 )
 
-// WriteError writes the whole answer for err: status, outcome, kind and a JSON body.
-func WriteError(w http.ResponseWriter, id string, err error) {
-	e := fault.From(err)
+// body is the JSON form of an error.
+type body struct {
+	Error     string `json:"error"`
+	Outcome   string `json:"outcome"`
+	RequestID string `json:"request-id"`
+	Detail    string `json:"detail"`
+}
+
+// WriteError writes the whole answer for cause: status, outcome, kind and a JSON body.
+func WriteError(w http.ResponseWriter, id string, cause error) {
+	e := fault.From(cause)
 	h := w.Header()
 	h.Del("Content-Length")
 	h.Set("Content-Type", "application/json")
@@ -25,9 +34,13 @@
 		h.Set("Retry-After", strconv.FormatInt(int64((d+time.Second-1)/time.Second), 10))
 	}
 	w.WriteHeader(e.Kind().Answer().Status)
-	body := `{"error":` + strconv.Quote(e.Kind().String()) + `,"outcome":` + strconv.Quote(e.Outcome().String()) +
-		`,"request-id":` + strconv.Quote(id) + `,"detail":` + strconv.Quote(e.Detail()) + "}\n"
-	_, _ = w.Write([]byte(body)) // the caller may have gone; there is nobody left to tell
+	b, err := json.Marshal(body{
+		Error: e.Kind().String(), Outcome: e.Outcome().String(), RequestID: id, Detail: e.Detail(),
+	})
+	if err != nil {
+		return // four strings always have a JSON form
+	}
+	_, _ = w.Write(append(b, '\n')) // the caller may have gone; there is nobody left to tell
 }
 
 // ReadError returns the error that an answer carries, or nil when it carries none. The outcome is the one that the
--- a/io/message/hop.go
+++ b/io/message/hop.go
@@ -31,7 +31,7 @@
 func SplitPath(path string) (service, method string, err error) {
 	parts := strings.SplitN(strings.TrimPrefix(path, "/"), "/", 3)
 	if len(parts) < 2 || parts[0] == "" || parts[1] == "" {
-		return "", "", fault.Newf(fault.BadRequest, "path %q; expected /<service>/<method>", path)
+		return "", "", fault.Newf(fault.BadRequest, "path %q; expected /SERVICE/METHOD", path)
 	}
 	return parts[0], parts[1], nil
 }
