io/dispatch: wait shortly for an owner that is not known yet

Cause: a request whose id was issued by a node that had just started was answered outcome-unknown by nodes that had not heard of it. Ruled out: the owner's address inside the id, because a caller could then make nodes connect anywhere. Change: a lookup waits up to 1.5 s; a node issues no ids before it has a configuration.

--- a/io/caller/server.go
+++ b/io/caller/server.go
@@ -72,6 +72,10 @@
 		header.WriteError(w, "", err)
 		return
 	}
+	if _, _, ok := s.configs.Current(); !ok {
+		header.WriteError(w, "", fault.New(fault.NotReady, "this node has no configuration yet"))
+		return
+	}
 	n := 1
 	if v := q.URL.Query().Get("count"); v != "" {
 		var err error
--- a/io/dispatch/dispatch.go
+++ b/io/dispatch/dispatch.go
@@ -8,6 +8,7 @@
 import (
 	"context"
 	"strconv"
+	"time"
 
 	"mustardmast"
 	"mustardmast/core/call"
@@ -104,7 +105,7 @@
 
 // forward sends the call to its owner. Only the owner can say that an earlier attempt was not executed.
 func (d *Dispatcher) forward(ctx context.Context, r *message.Request, owner mustardmast.NodeID) (execute.Answer, error) {
-	m, ok := d.p.Members.Find(owner)
+	m, ok := d.find(ctx, owner)
 	if !ok {
 		return d.refuse(r.Call), fault.Newf(fault.OutcomeUnknown, "the node %x that issued the request id is gone; this attempt was not started", uint64(owner))
 	}
@@ -115,6 +116,29 @@
 	return a, err
 }
 
+const (
+	// ownerWait is how long a call waits for news of its owner. A node that has just started issues ids before the last
+	// of its peers has heard of it.
+	ownerWait = 1500 * time.Millisecond
+	ownerPoll = 50 * time.Millisecond
+)
+
+// find looks the owner up, and waits a little for one that is not known yet.
+func (d *Dispatcher) find(ctx context.Context, owner mustardmast.NodeID) (mustardmast.Member, bool) {
+	ctx, cancel := context.WithTimeout(ctx, ownerWait)
+	defer cancel()
+	for {
+		if m, ok := d.p.Members.Find(owner); ok {
+			return m, true
+		}
+		select {
+		case <-time.After(ownerPoll):
+		case <-ctx.Done():
+			return mustardmast.Member{}, false
+		}
+	}
+}
+
 // refuse is the answer to a call that went nowhere.
 func (d *Dispatcher) refuse(c call.Call) execute.Answer {
 	return execute.Answer{Retries: c.Retries()}
