io/dispatch: each send of a call raises its attempt number; tables sized for the control budget

Cause: the owner refuses a number that it has seen, so the keyed sub-call of a repeated parent was refused as fenced. The ledger's and the register's defaults were 31 and 40 MB when full, above the 32 MB for control; now about 10 and 12.

--- a/daemon/providers.go
+++ b/daemon/providers.go
@@ -79,7 +79,7 @@
 }
 
 func newRegister(i identity, t *tick.Service) *register.Register {
-	return register.New(i.id, t.Now(), requestid.DefaultWindow, register.DefaultLimits)
+	return register.New(i.id, t.Now(), requestid.DefaultWindow, node.RegisterLimits)
 }
 
 func newQuarantine(i identity) *quarantine.Quarantine { return quarantine.New(i.id) }
--- a/io/caller/server.go
+++ b/io/caller/server.go
@@ -15,6 +15,7 @@
 	"mustardmast/core/call"
 	"mustardmast/core/config"
 	"mustardmast/core/fault"
+	"mustardmast/core/ledger"
 	"mustardmast/core/level"
 	"mustardmast/core/retry"
 	"mustardmast/io/execute"
@@ -102,7 +103,7 @@
 func (s *Server) call(w http.ResponseWriter, q *http.Request) {
 	r, parent, err := s.read(q)
 	if err != nil {
-		header.WriteError(w, q.Header.Get(header.RequestID), weaken(q, err))
+		header.WriteError(w, q.Header.Get(header.RequestID), elsewhere(q, err))
 		return
 	}
 	ctx, cancel := context.WithDeadline(q.Context(), r.Call.Deadline())
@@ -120,16 +121,10 @@
 	message.Write(w, r.Call.ID(), a.Response)
 }
 
-// weaken returns err with the outcome unknown for a resend. It is refused before the record of its request was asked,
-// and an earlier attempt may have run.
-func weaken(q *http.Request, err error) error {
-	if a := q.Header.Get(header.Attempt); a == "" || a == "1" {
-		return err
-	}
-	if e := fault.From(err); e.Outcome() == fault.NotExecuted {
-		return e.WithOutcome(fault.Unknown)
-	}
-	return err
+// elsewhere weakens the refusal of a resend, whose record was not asked.
+func elsewhere(q *http.Request, err error) error {
+	attempt, _ := strconv.Atoi(q.Header.Get(header.Attempt)) // absent or malformed: a first send
+	return ledger.Elsewhere(max(attempt, 1), err)
 }
 
 func (s *Server) read(q *http.Request) (*message.Request, *nested, error) {
--- a/io/dispatch/dispatch.go
+++ b/io/dispatch/dispatch.go
@@ -98,7 +98,7 @@
 func (d *Dispatcher) Execute(ctx context.Context, r *message.Request, h execute.Hop) (execute.Answer, error) {
 	id, ok := requestid.Parse(r.Call.ID())
 	if !ok || id.Owner() != d.p.Self.ID || h.Addressed != d.p.Self.ID {
-		return d.refuse(r.Call), Weaken(r.Call, fault.Newf(fault.WrongIncarnation, "this is incarnation %x", uint64(d.p.Self.ID)))
+		return d.refuse(r.Call), ledger.Elsewhere(r.Call.Attempt(), fault.Newf(fault.WrongIncarnation, "this is incarnation %x", uint64(d.p.Self.ID)))
 	}
 	return d.own(ctx, r, id)
 }
@@ -143,13 +143,3 @@
 func (d *Dispatcher) refuse(c call.Call) execute.Answer {
 	return execute.Answer{Retries: c.Retries()}
 }
-
-// Weaken returns err with the outcome unknown if the call is a resend of a non-idempotent request whose ledger was not
-// asked: its earlier attempts may have run.
-func Weaken(c call.Call, err error) error {
-	e := fault.From(err)
-	if e == nil || c.Idempotent() || c.Attempt() <= 1 || e.Outcome() != fault.NotExecuted {
-		return err
-	}
-	return e.WithOutcome(fault.Unknown)
-}
--- a/io/dispatch/hedge.go
+++ b/io/dispatch/hedge.go
@@ -17,7 +17,7 @@
 	d        *Dispatcher
 	r        *message.Request
 	b        *retry.Budget
-	tried    *[]mustardmast.NodeID
+	tries    *tries
 	withheld uint32
 	done     chan sent
 	cancel   [2]context.CancelFunc
@@ -33,7 +33,7 @@
 
 func (h *hedged) run(ctx context.Context, first mustardmast.Member, wait time.Duration) (execute.Answer, error) {
 	h.done = make(chan sent, len(h.cancel))
-	h.start(ctx, 0, first, sendOptions{withheld: h.withheld, hedgeUnused: func() bool { return !h.twice.Load() }})
+	h.start(ctx, 0, first, sendOptions{withheld: h.withheld, repeats: h.tries.repeats(), hedgeUnused: func() bool { return !h.twice.Load() }})
 	t := time.NewTimer(wait)
 	defer t.Stop()
 	select {
@@ -41,13 +41,13 @@
 		return h.finish(s)
 	case <-t.C:
 	}
-	second, ok := h.d.p.Picker.Pick(h.d.p.Clock.Now(), h.r.Call, h.d.p.Members.Serving(h.r.Call.Service()), *h.tried)
+	second, ok := h.d.p.Picker.Pick(h.d.p.Clock.Now(), h.r.Call, h.d.p.Members.Serving(h.r.Call.Service()), h.tries.members)
 	if !ok {
 		return h.finish(<-h.done)
 	}
-	*h.tried = append(*h.tried, second.ID)
+	h.tries.add(second.ID)
 	h.twice.Store(true)
-	h.start(ctx, 1, second, sendOptions{})
+	h.start(ctx, 1, second, sendOptions{repeats: h.tries.repeats()})
 	s := <-h.done
 	if s.err != nil {
 		return h.finish(<-h.done)
--- a/io/dispatch/own.go
+++ b/io/dispatch/own.go
@@ -78,9 +78,9 @@
 	if err != nil {
 		return d.refuse(r.Call), err
 	}
-	var tried []mustardmast.NodeID
+	var t tries
 	for n := 1; ; n++ {
-		a, err := o.attempt(ctx, r, &tried, withheld)
+		a, err := o.attempt(ctx, r, &t, withheld)
 		withheld = 0 // counted by the first send
 		if err == nil {
 			if n == 1 {
@@ -98,13 +98,13 @@
 }
 
 // attempt makes one send and settles the ledger's record by how it ended.
-func (o *owned) attempt(ctx context.Context, r *message.Request, tried *[]mustardmast.NodeID, withheld uint32) (execute.Answer, error) {
+func (o *owned) attempt(ctx context.Context, r *message.Request, t *tries, withheld uint32) (execute.Answer, error) {
 	d := o.d
 	now := d.p.Clock.Now()
 	if r.Call.Expired(now) {
 		return d.refuse(r.Call), fault.New(fault.DeadlinePassed, "before it was sent to a target")
 	}
-	m, _, err := d.pick(now, r, tried)
+	m, _, err := d.pick(now, r, t)
 	if err != nil {
 		return d.refuse(r.Call), err
 	}
@@ -113,7 +113,7 @@
 		d.p.Picker.Done(now, mustardmast.Result{Member: m.ID, Service: r.Call.Service(), Kind: fault.Canceled})
 		return d.refuse(r.Call), err
 	}
-	a, err := d.send(ctx, m, r, retry.NewBudget(retries).Grant(true), sendOptions{nonce: uint64(at.Nonce), withheld: withheld})
+	a, err := d.send(ctx, m, r, retry.NewBudget(retries).Grant(true), sendOptions{nonce: uint64(at.Nonce), withheld: withheld, repeats: t.repeats()})
 	if err == nil {
 		o.keep(&a, at)
 		return a, nil
--- a/io/dispatch/repeat.go
+++ b/io/dispatch/repeat.go
@@ -20,9 +20,9 @@
 		return d.refuse(r.Call), err
 	}
 	b := retry.NewBudget(r.Call.Retries())
-	var tried []mustardmast.NodeID
+	var t tries
 	for n := 1; ; n++ {
-		a, err := d.try(ctx, r, b, &tried, withheld)
+		a, err := d.try(ctx, r, b, &t, withheld)
 		withheld = 0 // counted by the first send
 		a.Retries = b.Left()
 		if err == nil {
@@ -70,9 +70,9 @@
 }
 
 // try makes one attempt, with a second send beside it if the first one is late and hedging is allowed.
-func (d *Dispatcher) try(ctx context.Context, r *message.Request, b *retry.Budget, tried *[]mustardmast.NodeID, withheld uint32) (execute.Answer, error) {
+func (d *Dispatcher) try(ctx context.Context, r *message.Request, b *retry.Budget, t *tries, withheld uint32) (execute.Answer, error) {
 	now := d.p.Clock.Now()
-	m, suspect, err := d.pick(now, r, tried)
+	m, suspect, err := d.pick(now, r, t)
 	if err != nil {
 		return d.refuse(r.Call), err
 	}
@@ -81,15 +81,30 @@
 		wait, hedge = d.p.Picker.HedgeAfter(now, r.Call)
 	}
 	if !hedge {
-		return d.send(ctx, m, r, b.Lend(), sendOptions{withheld: withheld})
+		return d.send(ctx, m, r, b.Lend(), sendOptions{withheld: withheld, repeats: t.repeats()})
 	}
-	h := hedged{d: d, r: r, b: b, tried: tried, withheld: withheld}
+	h := hedged{d: d, r: r, b: b, tries: t, withheld: withheld}
 	return h.run(ctx, m, wait)
 }
 
+// tries are the sends that a node has made of one call.
+type tries struct {
+	members []mustardmast.NodeID // to pass over
+	sends   int
+}
+
+func (t *tries) add(id mustardmast.NodeID) {
+	t.members = append(t.members, id)
+	t.sends++
+}
+
+// repeats returns how many sends came before the newest. Each raises the attempt number, so that an owner can tell the
+// sub-calls of a repeated call from late ones.
+func (t *tries) repeats() int { return t.sends - 1 }
+
 // pick chooses a member. When every member was tried, all may be tried again: the failure may have been of a moment.
 // Content that is suspected of crashing targets has one member that may run it.
-func (d *Dispatcher) pick(now time.Time, r *message.Request, tried *[]mustardmast.NodeID) (m mustardmast.Member, suspect bool, err error) {
+func (d *Dispatcher) pick(now time.Time, r *message.Request, t *tries) (m mustardmast.Member, suspect bool, err error) {
 	c := r.Call
 	members := d.p.Members.Serving(c.Service())
 	home, suspect, err := d.home(now, r, members)
@@ -99,15 +114,15 @@
 	if suspect {
 		members = home
 	}
-	m, ok := d.p.Picker.Pick(now, c, members, *tried)
-	if !ok && len(*tried) > 0 {
-		*tried = (*tried)[:0]
+	m, ok := d.p.Picker.Pick(now, c, members, t.members)
+	if !ok && len(t.members) > 0 {
+		t.members = t.members[:0]
 		m, ok = d.p.Picker.Pick(now, c, members, nil)
 	}
 	if !ok {
 		return m, suspect, fault.Newf(fault.NoTarget, "service %q", c.Service())
 	}
-	*tried = append(*tried, m.ID)
+	t.add(m.ID)
 	return m, suspect, nil
 }
 
@@ -128,6 +143,7 @@
 type sendOptions struct {
 	nonce       uint64      // the owner's dispatch number
 	withheld    uint32      // calls held back before this one
+	repeats     int         // sends made before
 	hedgeUnused func() bool // whether a second send was reserved and not made
 }
 
@@ -136,6 +152,7 @@
 	start := d.p.Clock.Now()
 	s := r.Call.Spec()
 	s.Retries = g.Units()
+	s.Attempt = min(s.Attempt+o.repeats, call.MaxAttempt)
 	out := *r
 	out.Call = call.New(s)
 	h := execute.Hop{Addressed: m.ID, Nonce: o.nonce, Withheld: o.withheld}
--- a/node/node.go
+++ b/node/node.go
@@ -46,6 +46,13 @@
 	drainPoll     = 20 * time.Millisecond
 )
 
+// LedgerLimits keep the ledger under 10 MB when it is full. At the target size a node issues some 60 ids a second;
+// this allows 270 over the whole window.
+var LedgerLimits = ledger.Limits{Records: 32_768, Bytes: 4 << 20, Answer: 16 << 10}
+
+// RegisterLimits keep the register under 12 MB when it is full. Attempts are kept for two windows.
+var RegisterLimits = register.Limits{Records: 65_536, Owners: 8_192}
+
 // Parts are what a Node is built from.
 type Parts struct {
 	Self       mustardmast.Member // its ID must be random and new for each process
@@ -94,7 +101,7 @@
 		callerMux: http.NewServeMux(), peerMux: http.NewServeMux(),
 	}
 	issuer := requestid.New(p.Self.ID, p.Key, now, requestid.DefaultWindow)
-	n.ledger = ledger.New(issuer, ledger.DefaultLimits)
+	n.ledger = ledger.New(issuer, LedgerLimits)
 	below := level.NewBelow()
 	n.executor = execute.New(execute.Parts{
 		Self: p.Self, Clock: p.Timers, Members: p.Members, Admitter: n.admit, Local: n.local, Sender: n.targets,
