core/retry: refusals before admission do not draw on the edge's ratio

Cause: with one member in six gone until gossip says so, a sixth of the calls needs a second send, more than the tenth that the ratio allows, though these sends add no load. The request's own budget still bounds them.

--- a/core/retry/policy.go
+++ b/core/retry/policy.go
@@ -53,7 +53,7 @@
 	if b.Left() == 0 {
 		return Decision{Reason: "request budget"}
 	}
-	if !p.ratio.Take(now, c.Service()) {
+	if !unadmitted(e.Kind()) && !p.ratio.Take(now, c.Service()) {
 		return Decision{Reason: "edge ratio"}
 	}
 	if !b.Take() { // a parallel sub-call took the last unit
@@ -92,6 +92,17 @@
 	}
 }
 
+// unadmitted kinds are raised before a target's node took the call in. Sending it to another member adds nothing to the
+// load of the service, so the edge's ratio does not pay for it; the request's budget does.
+func unadmitted(k fault.Kind) bool {
+	switch k {
+	case fault.PeerUnreachable, fault.WrongIncarnation, fault.Draining, fault.NotReady:
+		return true
+	default:
+		return false
+	}
+}
+
 // elsewhere kinds concern one member only.
 func elsewhere(k fault.Kind) bool {
 	switch k {
--- a/core/retry/policy_test.go
+++ b/core/retry/policy_test.go
@@ -85,3 +85,19 @@
 	// true 2
 	// kind peer-lost with outcome unknown
 }
+
+// Guards against a stopped or restarted member that uses up the ratio of its service: with one member in six gone,
+// a sixth of the calls needs a second send, which is more than the ratio of a tenth.
+func TestRefusalBeforeAdmissionCostsNoRatio(t *testing.T) {
+	for _, k := range []fault.Kind{fault.PeerUnreachable, fault.Draining, fault.QueueFull} {
+		p := policy(retry.DefaultRatio())
+		allowed := 0
+		for range 20 {
+			d := p.Decide(start, one(false), retry.NewBudget(1), fault.New(k, ""), 1)
+			if d.Action != retry.GiveUp {
+				allowed++
+			}
+		}
+		assert.Equal(t, allowed == 20, k != fault.QueueFull, "%s: %d", k, allowed)
+	}
+}
