--- a/cmd/measure/main.go
+++ b/cmd/measure/main.go
@@ -4,6 +4,7 @@
 import (
 	"fmt"
 	"os"
+	"runtime/debug"
 
 	"github.com/jessevdk/go-flags"
 
@@ -15,6 +16,7 @@
 }
 
 func main() {
+	debug.SetGCPercent(400) // most of what a run allocates lives until its end
 	var o options
 	if _, err := flags.Parse(&o); err != nil {
 		os.Exit(2)
--- a/core/admit/admit.go
+++ b/core/admit/admit.go
@@ -139,7 +139,7 @@
 		return refuse(w.Ticket, fault.DeadlinePassed, 0)
 	}
 	b, p, cohort := a.share.Index(w.Call.Backer()), w.Call.Priority(), w.Call.Cohort()
-	a.shed.Arrived(p, b, cohort, w.Withheld, w.Call.Attempt())
+	a.shed.Arrived(p, b, cohort, w.Withheld)
 	if cohort >= admitted(a.shed.Level(p, b), w.Call.Depth()) {
 		return refuse(w.Ticket, fault.Shed, shedRetryAfter)
 	}
@@ -250,7 +250,6 @@
 	s := limit.Sample{
 		Latency: time.Duration(float64(own) / max(a.cost.Relative(r.method), minRelative)),
 		Held:    c.Latency,
-		Running: len(a.running) + 1,
 		Long:    r.long,
 		Refused: c.Kind == fault.TargetRefused,
 	}
--- a/core/admit/admit_test.go
+++ b/core/admit/admit_test.go
@@ -128,6 +128,49 @@
 	assert.Equal(m.t, m.a.Load(m.now).InFlight, uint32(0))
 }
 
+// Guards against a share that is lent and not given back within a second: b comes back with half of the capacity, its
+// share, while a asks for three times the capacity, and nearly all of b's calls run from the second second on.
+func TestShareIsGivenBack(t *testing.T) {
+	a := admit.New(admit.Spec{Slots: 10, Backers: []config.Backer{{Name: "a", SharePercent: 50}, {Name: "b", SharePercent: 50}}})
+	const hold, back, end = 100, 5000, 8000 // ms
+	ends, backer := map[int][]uint64{}, map[uint64]string{}
+	offered, ran := 0.0, 0.0
+	for ms := range end {
+		now := epoch.Add(time.Duration(ms) * time.Millisecond)
+		take := func(vs ...mustardmast.Verdict) {
+			for _, v := range vs {
+				if v.Action != mustardmast.Run {
+					continue
+				}
+				ends[ms+hold] = append(ends[ms+hold], v.Ticket)
+				if backer[v.Ticket] == "b" && ms >= back+1000 {
+					ran++
+				}
+			}
+		}
+		for _, id := range ends[ms] {
+			take(a.Done(now, mustardmast.Completion{Ticket: id, Latency: hold * time.Millisecond})...)
+		}
+		if ms%10 == 0 {
+			take(a.Tick(now)...)
+		}
+		offer := func(b string) {
+			id := uint64(len(backer) + 1)
+			backer[id] = b
+			take(a.Offer(now, work(id, call.Normal, b, time.Hour)))
+		}
+		if ms%10 < 3 { // 300 a second
+			offer("a")
+		}
+		if ms >= back && ms%21 == 0 { // 48 a second
+			if offer("b"); ms >= back+1000 {
+				offered++
+			}
+		}
+	}
+	assert.Assert(t, ran >= 0.97*offered, "%v of %v", ran, offered)
+}
+
 func ExampleAdmitter() {
 	a := admit.New(admit.Spec{Slots: 1, Backers: backers})
 	fmt.Println(a.Offer(epoch, work(1, call.Normal, "a", time.Second)).Action == mustardmast.Run)
--- a/core/level/below.go
+++ b/core/level/below.go
@@ -9,10 +9,10 @@
 )
 
 const (
-	// MaxMethods bounds the methods that a Below knows, and MaxChildren the sub-calls of each. Beyond the bounds nothing
+	// maxMethods bounds the methods that a Below knows, and maxChildren the sub-calls of each. Beyond the bounds nothing
 	// is learned, and calls are judged at the later hop only.
-	MaxMethods  = 256
-	MaxChildren = 16
+	maxMethods  = 256
+	maxChildren = 16
 	// usualPart is the part of a method's calls that must make a sub-call for its level to count. A method that makes
 	// it rarely would otherwise be shed for the sake of few of its calls.
 	usualPart = 0.5
@@ -37,7 +37,7 @@
 	defer b.mu.Unlock()
 	m := b.methods[method]
 	if m == nil {
-		if len(b.methods) >= MaxMethods {
+		if len(b.methods) >= maxMethods {
 			return
 		}
 		m = make(map[child]float64)
@@ -46,7 +46,7 @@
 	k := child{sub.Service(), sub.Method()}
 	if part, ok := m[k]; ok {
 		m[k] = min(part+memoryWeight, 1)
-	} else if len(m) < MaxChildren {
+	} else if len(m) < maxChildren {
 		m[k] = 1
 	}
 }
--- a/core/level/level.go
+++ b/core/level/level.go
@@ -40,7 +40,7 @@
 	// constant, and by leastPart at least. A chain adds up the delays of its hops; with ten times as much, the levels
 	// at the entry swung around those of the last hop.
 	memory    = 100 * time.Millisecond
-	leastPart = 0.05
+	leastPart = 0.1
 	// boundPart is the part of the whole range that an answer may move the level, in relation to the same growth.
 	boundPart = 0.3
 	// marginPercent is the margin for calls below the first hop, for which work has been done already.
--- a/core/limit/limit.go
+++ b/core/limit/limit.go
@@ -3,13 +3,13 @@
 // The slots that a target states are an upper bound only: the target may share its host with others, or state more
 // than it has. Once more calls run than the target can serve, they wait inside it, where nothing orders them, and their
 // latency grows with their number. The limit follows from latency per concurrency: a small table holds the mean
-// latency seen at each level of concurrency, and its lowest entry is what a call takes when the target is not crowded.
-// Where the present latency is well above that, the limit shrinks by a step; where it is close, the limit grows while it
-// is in use.
+// latency seen at each value of the limit while all of it was in use. Where a step down has a latency well below the
+// present one, the target is crowded and the limit goes down that step; where it has the same latency, the limit grows.
 //
-// Latency also rises for reasons that a limit cannot change, for example when the work itself becomes harder. The limit
-// then shrinks by a few steps, finds the same latency at the lower concurrency, and grows again, because entries of the
-// table are replaced as they are visited and expire otherwise.
+// Every step down is a trial: the latency of the lower value is measured anew before it is believed. Latency also rises
+// for reasons that a limit cannot change, for example when the work itself becomes harder; the trial then finds no gain
+// and the limit returns. A value whose lower neighbour has not been measured for a while is tried too, which costs a
+// fifth of the slots for some hundred calls.
 //
 // A target that completes nothing for many times the usual time between two completions is stalled; its limit is then
 // 1 until it completes a call again.
@@ -26,28 +26,34 @@
 	window = 100 * time.Millisecond
 	// minSamples keeps chance out of a window's mean: at 100 exponentially distributed latencies it is off by a tenth.
 	minSamples = 100
-	// Crowding above shrinkAbove shrinks the limit and below growBelow lets it grow.
-	shrinkAbove = 1.25
-	growBelow   = 1.15
-	// step is the factor between two entries of the table and the bound on one change downwards.
-	step     = 0.8
+	// step is the factor between two values of the table. A crowded target answers in 0.8 of the time one step below.
+	step = 0.8
+	// The ratio of the present latency to the one a step below starts a trial above tryAbove, confirms it above crowded,
+	// and lets the limit grow below crowded.
+	tryAbove = 1.2
+	crowded  = 1.12
 	growPart = 0.05
+	// leastTrial is the least value from which a step down is tried; below it a step is a large part of the target. A
+	// trial that has too few completions ends after longestTrial.
+	leastTrial   = 8
+	longestTrial = 2 * time.Second
 	// refusedPart is the part of refusals by the target that shrinks the limit.
 	refusedPart = 0.05
-	// A target is stalled after stallFactor times the usual time between two completions, and not before stallMin. By
+	// A target is stalled after stallFactor times the usual time between two completions, and not before leastGap. By
 	// chance alone, a gap of 8 times the mean comes once in 3,000 completions.
 	stallFactor = 8
-	stallMin    = 100 * time.Millisecond
+	leastGap    = 100 * time.Millisecond
 	heldWeight  = 1.0 / 64
 	// rows of the table reach down to slots x 0.8^15, which is a thirtieth.
 	rows = 16
-	// expiry is the age at which a row of the table no longer counts.
-	expiry = 20 * time.Second
-	// rowSamples is the number of completions that a row averages over.
+	// expiry is the age at which a row is measured anew.
+	expiry = 30 * time.Second
+	// rowSamples is the number of completions that a row averages over, enough the number from which it counts.
 	rowSamples = 400
+	enough     = 200
 )
 
-// row is the mean latency at one level of concurrency.
+// row is the mean latency at one value of the limit.
 type row struct {
 	latency float64
 	samples float64
@@ -59,13 +65,14 @@
 	slots int
 	value float64
 	table [rows]row
+	from  float64 // value that a trial returns to, 0 when there is none
+	tried time.Time
 
 	since   time.Time // start of the window
 	count   int
 	bad     int
 	peak    int
 	latency float64 // sum over the window, seconds
-	inUse   float64 // sum over the window of the calls running at each completion
 
 	running int     // short calls
 	held    float64 // mean time that a short call holds its slot, seconds
@@ -97,7 +104,7 @@
 		l.value = float64(n)
 	}
 	if n != l.slots {
-		l.table = [rows]row{}
+		l.table, l.from = [rows]row{}, 0
 	}
 	l.slots = n
 }
@@ -120,7 +127,6 @@
 	// relation to the other methods. A change in the mix of methods then does not look like crowding.
 	Latency time.Duration
 	Held    time.Duration // time that the call held its slot
-	Running int           // calls that ran when it ended, itself included
 	Long    bool          // long jobs are not judged
 	Done    bool          // the target answered, with success or not
 	Refused bool          // the target refused for lack of capacity
@@ -147,7 +153,6 @@
 	l.held += (s.Held.Seconds() - l.held) * heldWeight
 	l.count++
 	l.latency += s.Latency.Seconds()
-	l.inUse += float64(s.Running)
 }
 
 // Tick advances the window.
@@ -156,11 +161,14 @@
 	if l.since.IsZero() {
 		l.since = now
 	}
+	if l.from > 0 && now.Sub(l.tried) > longestTrial {
+		l.abandon(now)
+	}
 	if now.Sub(l.since) < window || l.count < minSamples {
 		return
 	}
 	l.adjust(now)
-	l.since, l.count, l.bad, l.peak, l.latency, l.inUse = now, 0, 0, 0, 0, 0
+	l.since, l.count, l.bad, l.peak, l.latency = now, 0, 0, 0, 0
 }
 
 func (l *Limit) silent(now time.Time) bool {
@@ -168,49 +176,76 @@
 		return false
 	}
 	gap := time.Duration(stallFactor * l.held / float64(l.running) * float64(time.Second))
-	return now.Sub(l.quiet) > max(stallMin, gap)
+	return now.Sub(l.quiet) > max(leastGap, gap)
 }
 
 func (l *Limit) adjust(now time.Time) {
 	if float64(l.bad) > float64(l.count)*refusedPart {
+		l.from = 0
 		l.set(l.value * step)
 		return
 	}
-	n := float64(l.count - l.bad)
-	latency, inUse := l.latency/n, l.inUse/n
-	l.learn(now, latency, inUse, n)
-	crowding := 1.0
-	if base := l.base(now); base > 0 {
-		crowding = latency / base
+	if float64(l.peak) < l.value*0.9-1 {
+		return // the limit was not in use and says nothing
+	}
+	i := l.row()
+	l.table[i].learn(now, l.latency, float64(l.count-l.bad))
+	if l.table[i].samples < enough {
+		return
 	}
 	switch {
-	case crowding > shrinkAbove && inUse > l.value/2:
-		l.set(min(l.value, float64(l.peak)) * max(step, 1/crowding))
-	case crowding < growBelow && float64(l.peak) >= l.value*0.9-1:
-		l.set(l.value + max(1, l.value*growPart))
+	case l.from > 0:
+		l.judge(i)
+	case i+1 >= rows || l.value < leastTrial:
+		l.grow()
+	case !l.table[i+1].known(now) || l.table[i].latency > l.table[i+1].latency*tryAbove:
+		l.table[i+1] = row{}
+		l.from, l.tried = l.value, now
+		l.set(l.value * step)
+	case l.table[i].latency < l.table[i+1].latency*crowded:
+		l.grow()
+	}
+}
+
+// abandon ends a trial without a result and puts the next one off.
+func (l *Limit) abandon(now time.Time) {
+	i := l.row()
+	if i > 0 {
+		l.table[i] = row{latency: l.table[i-1].latency, samples: enough, at: now}
+	}
+	l.set(l.from)
+	l.from = 0
+}
+
+// judge ends a trial: the value stays if latency fell with it.
+func (l *Limit) judge(i int) {
+	if i > 0 && l.table[i-1].latency < l.table[i].latency*crowded {
+		l.set(l.from)
 	}
+	l.from = 0
 }
 
+func (l *Limit) grow() { l.set(l.value + max(1, l.value*growPart)) }
+
 func (l *Limit) set(v float64) { l.value = min(max(v, 1), float64(l.slots)) }
 
-func (l *Limit) learn(now time.Time, latency, inUse, n float64) {
-	i := int(math.Log(max(inUse, 1)/float64(l.slots)) / math.Log(step))
-	r := &l.table[min(max(i, 0), rows-1)]
+// row returns the row of the present value.
+func (l *Limit) row() int {
+	i := int(math.Log(l.value/float64(l.slots))/math.Log(step) + 0.5)
+	return min(max(i, 0), rows-1)
+}
+
+func (r *row) known(now time.Time) bool { return r.samples >= enough && now.Sub(r.at) <= expiry }
+
+// learn adds n completions with this sum of latencies.
+func (r *row) learn(now time.Time, sum, n float64) {
+	if n <= 0 {
+		return
+	}
 	if now.Sub(r.at) > expiry {
 		*r = row{}
 	}
 	r.at = now
 	r.samples = min(r.samples+n, rowSamples)
-	r.latency += (latency - r.latency) * min(n/r.samples, 1)
-}
-
-// base returns the lowest latency of the rows with enough samples, 0 when there is none.
-func (l *Limit) base(now time.Time) float64 {
-	base := 0.0
-	for _, r := range l.table {
-		if r.samples >= rowSamples/2 && now.Sub(r.at) <= expiry && (base == 0 || r.latency < base) {
-			base = r.latency
-		}
-	}
-	return base
+	r.latency += (sum/n - r.latency) * min(n/r.samples, 1)
 }
--- a/core/shed/shed.go
+++ b/core/shed/shed.go
@@ -47,13 +47,13 @@
 	// enough is the number of arrivals in memory above which their mean cohort is used.
 	enough   = 8
 	deadBand = 2
+	// openAfter is the number of windows at the full level before the next lower priority is admitted again.
+	openAfter = 5
 	// fallPart is the part of the way to a lower target that a level goes in a window.
-	fallPart = 0.3
-	// againWeight is what a later attempt of a request counts for.
-	againWeight = 1
+	fallPart = 0.6
 	// freePart is the part of the free slots that a rise of one level may take in a window. Arrivals follow a level with
 	// about six windows of delay; with a quarter, levels overshot after a surge.
-	freePart = 0.15
+	freePart = 0.3
 	gainMin  = 0.97
 	gainMax  = 1.5
 	// ownPart is how near the range of arriving cohorts must be to a level for the level to be what limits them.
@@ -68,6 +68,8 @@
 	average                   // over memory
 	slotTime          float64 // seconds that one call holds a slot, averaged
 	level             float64
+	full              int  // windows at the full level
+	shut              bool // because the next higher priority is limited
 }
 
 // average is the demand of a kind over some time.
@@ -105,18 +107,12 @@
 	return mustardmast.Level(d.kinds[min(p, call.Priorities-1)][backer].level)
 }
 
-// Arrived counts one request, and those that its sender withheld since the last one. A later attempt of a request counts
-// for less than the first: however often it is sent, it takes a slot for one answer, and counting what comes back after
-// a refusal in full would lower the level and so refuse more.
-func (d *Shed) Arrived(p call.Priority, backer, cohort int, withheld uint32, attempt int) {
+// Arrived counts one request, and those that its sender withheld since the last one.
+func (d *Shed) Arrived(p call.Priority, backer, cohort int, withheld uint32) {
 	k := &d.kinds[min(p, call.Priorities-1)][backer]
-	weight := 1.0
-	if attempt > 1 {
-		weight = againWeight
-	}
+	k.arrived++
+	k.cohorts += float64(cohort)
 	k.withheld += float64(withheld)
-	k.arrived += weight
-	k.cohorts += weight * float64(cohort)
 }
 
 // Ran counts the time that one request held a slot.
@@ -160,8 +156,8 @@
 			target := k.target(d.alloc[b], d.demand[b], d.slotTimeOf(k))
 			limited = limited || target < call.Cohorts
 			k.move(target, k.rise(s.Limit-s.Busy, d.slotTimeOf(k)))
-			if p > 0 && d.kinds[p-1][b].level < call.Cohorts {
-				k.level = 0
+			if p > 0 {
+				d.kinds[p-1][b].below(k)
 			}
 		}
 	}
@@ -256,6 +252,20 @@
 	return min(alloc/slotTime/density, call.Cohorts)
 }
 
+// below shuts the next lower priority while this one is limited. It stays shut until this one has been admitted in full
+// for a while, so that a request which is shed now is not overtaken by a less important one that comes a moment later.
+func (k *kind) below(lower *kind) {
+	if k.level < call.Cohorts {
+		k.full = 0
+		lower.shut = true
+	} else if k.full++; k.full >= openAfter {
+		lower.shut = false
+	}
+	if lower.shut {
+		lower.level = 0
+	}
+}
+
 // move changes the level towards its target.
 func (k *kind) move(target, rise float64) {
 	switch {
