core/balance: spillover by share, steep cost of slow members

Cause: after a slow target of the own domain had recovered, its domain's callers sent nothing to either of its members for seconds: the idle slow one won every draw by its empty slots, and its latency then sent the call to another domain. Reported loads could also be absurd (a fault of the simulation counted calls below zero), and one such report stayed in the average.

Change: a share of calls leaves the own domain; it moves in steps by the unbiased latency of both sides times a factor for use. Cost rises with the fourth power above 1.5 times the median. Reported calls count up to 4 times the slots. The simulation no longer gives back the slot of a finished call that is canceled.

Conclusion: calls stay at home again.

--- a/core/balance/doc.go
+++ b/core/balance/doc.go
@@ -9,7 +9,7 @@
 // latency (an average that follows rises quickly and falls slowly) times its calls in flight in relation to its slots.
 // The calls in flight are the own ones plus those that the member last reported for others, weighted down with the
 // age of the report; an old report is ignored. The own domain is preferred until its predicted latency, which rises
-// steeply before a member is full, exceeds that of another domain by a margin.
+// steeply before a domain is full, exceeds that of the others by a margin; then a growing share of calls leaves it.
 //
 // A member that has not answered for longer than its latency and calls in flight explain, while others answer, is
 // passed over. So is one whose latency is a multiple of the median, or that refused connections. Ejection is bounded:
--- a/core/balance/member.go
+++ b/core/balance/member.go
@@ -11,6 +11,13 @@
 // assumedSlots stands for the capacity of a member that has reported none; only its relation to others matters.
 const assumedSlots = 100
 
+// suspicious is the multiple of the median latency from which the cost rises steeply. Below it, differences are mostly
+// chance; at the outlier factor the member is passed over.
+const suspicious = 1.5
+
+// maxReported is the multiple of its slots up to which reported calls of a member count: slots and a long queue.
+const maxReported = 4
+
 // member is what one balancer knows about one member. Times are since the start of the service's state.
 type member struct {
 	id     mustardmast.NodeID
@@ -39,8 +46,10 @@
 	wait    time.Duration // between probes
 
 	// Results of the last evaluation.
-	cost, predicted float64
-	out             bool
+	cost float64
+	use  float64 // calls in flight in relation to the capacity
+	bad  bool    // refuses connections or is silent
+	out  bool    // passed over
 }
 
 // expected returns the latency to expect of m at t. Without new samples it returns to the median, because old evidence
@@ -113,6 +122,7 @@
 // lags, acting on it at once makes all of them swing between members.
 func (m *member) report(t time.Duration, s *Settings, l mustardmast.Load) {
 	n := max(float64(l.InFlight)+float64(l.Queued)-float64(m.short+m.long), 0)
+	n = min(n, maxReported*m.ownSlots()) // a wrong figure must not outlive its report in the average
 	if !m.reported || t-m.loadAt >= s.MaxLoadAge {
 		m.foreign = n
 	} else {
@@ -127,6 +137,10 @@
 	if m.reported && m.load.Limit > 0 && m.load.Age+t-m.loadAt < s.MaxLoadAge {
 		return float64(m.load.Limit)
 	}
+	return m.ownSlots()
+}
+
+func (m *member) ownSlots() float64 {
 	if m.slots > 0 {
 		return float64(m.slots)
 	}
@@ -144,7 +158,7 @@
 	return float64(t-m.progress) > limit && float64(t-answered) < limit
 }
 
-// evaluate computes cost, predicted latency and whether m should be passed over.
+// evaluate computes cost and use of m and whether it should be passed over.
 func (m *member) evaluate(t time.Duration, s *Settings, median float64, answered time.Duration) {
 	expected := m.expected(t, s, median)
 	quiet := m.silent(t, answered, s, expected)
@@ -158,13 +172,15 @@
 	if t < m.full {
 		inFlight = max(inFlight, capacity)
 	}
-	use := inFlight / capacity
+	m.use = inFlight / capacity
 	m.cost = latency * (inFlight + 1) / capacity
-	m.predicted = latency * (1 + 10*max(use-s.SpillAt, 0))
-	m.out = t < m.until || quiet || slow
+	if r := latency / (suspicious * median); r > 1 {
+		m.cost *= r * r * r * r // an idle slow member must not win over busy ones just because it is idle
+	}
+	m.bad = t < m.until || quiet
+	m.out = m.bad || slow
 	if t < m.until {
 		m.cost *= 100
-		m.predicted *= 100
 	}
 }
 
--- a/core/balance/scenarios_test.go
+++ b/core/balance/scenarios_test.go
@@ -64,6 +64,25 @@
 	assert.Assert(t, float64(vain) < 0.01*float64(s.picks))
 }
 
+// Guards against calls that leave an idle domain, and against a domain that is filled while others have room. All
+// callers are in one domain of three, so at 10% of all slots it uses 30% of its own, and at 50% it would need 150%.
+func TestSpillover(t *testing.T) {
+	sc := scenario{domains: []string{"a", "b", "c"}, apply: none, home: "a"}
+	var p99 [2]time.Duration
+	for i, use := range []float64{0.1, 0.5} {
+		s := simulate("balancer", sc, trace(*firstSeed, 6, *simCall, use, mean, length), *firstSeed)
+		home := s.share(0, faultAt, length) + s.share(3, faultAt, length)
+		p99[i] = s.quantile(0.99, faultAt, length)
+		t.Logf("use %.1f: p99 %v, %.3f of the calls stay at home", use, p99[i], home)
+		if i == 0 {
+			assert.Check(t, home > 0.95)
+		} else {
+			assert.Check(t, home > 1.0/3, "the own domain is used by less than half")
+		}
+	}
+	assert.Check(t, p99[1] < p99[0]*3/2)
+}
+
 // Guards against ejection that empties a failure domain, whatever the members answer.
 func TestNoDomainIsEmptiedByEjection(t *testing.T) {
 	kinds := []fault.Kind{fault.None, fault.PeerUnreachable, fault.PeerLost, fault.Canceled, fault.QueueFull, fault.Draining}
--- a/core/balance/service.go
+++ b/core/balance/service.go
@@ -29,6 +29,7 @@
 	probes   float64
 	latency  latencies
 	hedges   hedges
+	spill    spill
 
 	scratch []*member // members that may be picked, reused
 	outs    []int     // ejected members by domain, reused
@@ -112,6 +113,7 @@
 			v.outs[m.domain]++
 		}
 	}
+	v.spill.advance(t, s, v.members)
 	for d, n := range v.outs {
 		for most := v.sizes[d] / 2; n > most; n-- {
 			v.readmit(d)
@@ -167,10 +169,17 @@
 		return v.lastResort(tried)
 	case near == nil:
 		return far
-	case far == nil || near.predicted <= s.SpillMargin*far.predicted:
+	case far == nil:
 		return near
-	default:
+	case near.bad != far.bad:
+		if near.bad {
+			return far
+		}
+		return near
+	case near.use > 1 && far.use < 1, v.spill.share > 0 && v.rng.Float64() < v.spill.share:
 		return far
+	default:
+		return near
 	}
 }
 
@@ -254,6 +263,9 @@
 		}
 	}
 	m.done(t, s, r, v.median)
+	if !r.Long && r.Kind == fault.None {
+		v.spill.sample(t, s, m.local, float64(r.Latency))
+	}
 	if judge(r.Kind) != slower {
 		v.answered = t
 	}
--- a/core/balance/settings.go
+++ b/core/balance/settings.go
@@ -28,7 +28,7 @@
 	MaxLoadAge  time.Duration // older load reports are ignored; default 1 s
 	LoadMemory  time.Duration // time constant of the average of reported load; default 4 s
 	LoadGain    float64       // weight of load that others cause against own calls; default 0.5
-	SpillAt     float64       // utilisation from which predicted latency rises; default 0.6
+	SpillAt     float64       // use of slots from which predicted latency rises; default 0.6
 	SpillMargin float64       // how much dearer the own domain may be before calls leave it; default 1.25
 	SlowStart   time.Duration // time over which a new member reaches its full share; default 10 s
 
--- a/core/balance/sim_test.go
+++ b/core/balance/sim_test.go
@@ -85,6 +85,7 @@
 	delay     time.Duration // one way
 	answer    func(fault.Kind, mustardmast.Load)
 	started   bool
+	finished  bool
 	withdrawn bool
 }
 
@@ -117,6 +118,7 @@
 		t.s.at(t.resumes+t.s.now-t.stalled, func() { t.finish(d) })
 		return
 	}
+	d.finished = true
 	t.leave()
 	if t.lost {
 		d.answer(fault.PeerLost, mustardmast.Load{})
@@ -138,7 +140,7 @@
 
 func (t *target) cancel(d *send) {
 	d.withdrawn = true
-	if d.started {
+	if d.started && !d.finished {
 		t.leave()
 	}
 }
--- /dev/null
+++ b/core/balance/spill.go
@@ -0,0 +1,79 @@
+package balance
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	spillEvery = 20 * time.Millisecond
+	spillUp    = 0.1  // share added per step: a full domain is relieved within 200 ms
+	spillDown  = 0.03 // share taken back per step: slower, so that the share settles instead of swinging
+)
+
+// spill is the share of calls that leave the own failure domain although it has a member. The share moves in steps,
+// because a switch between all and none would throw the whole load to and fro.
+type spill struct {
+	share     float64
+	at        time.Duration
+	near, far average
+}
+
+// average follows latencies without preference for high ones. It compares domains, where a bias would depend on the
+// number of samples.
+type average struct {
+	value float64
+	at    time.Duration
+}
+
+func (a *average) add(t time.Duration, s *Settings, x float64) {
+	if a.value == 0 {
+		a.value = x
+	} else {
+		a.value += (x - a.value) * (1 - math.Exp(-float64(max(t-a.at, 0))/float64(s.Memory)))
+	}
+	a.at = t
+}
+
+func (p *spill) sample(t time.Duration, s *Settings, local bool, x float64) {
+	if local {
+		p.near.add(t, s, x)
+	} else {
+		p.far.add(t, s, x)
+	}
+}
+
+// advance moves the share towards the cheaper side. A small part of the calls stays at home even if home is slow, to
+// notice when it is not.
+func (p *spill) advance(t time.Duration, s *Settings, members []*member) {
+	if t-p.at < spillEvery {
+		return
+	}
+	p.at = t
+	near, far := p.near.value, p.far.value
+	if far == 0 {
+		far = near + float64(s.AssumedCrossing)
+	}
+	near *= crowding(s, members, true)
+	far *= crowding(s, members, false)
+	if near > s.SpillMargin*far {
+		p.share = min(p.share+spillUp, 1-s.ProbeShare)
+	} else {
+		p.share = max(p.share-spillDown, 0)
+	}
+}
+
+// crowding is the factor by which latency will rise at the present use of the members that are not passed over.
+func crowding(s *Settings, members []*member, local bool) float64 {
+	use, n := 0.0, 0
+	for _, m := range members {
+		if m.local == local && !m.out {
+			use += m.use
+			n++
+		}
+	}
+	if n == 0 {
+		return math.Inf(1)
+	}
+	return 1 + 10*max(use/float64(n)-s.SpillAt, 0)
+}
--- a/core/balance/variants_test.go
+++ b/core/balance/variants_test.go
@@ -65,6 +65,7 @@
 	name    string
 	domains []string
 	apply   func(*sim, *rand.Rand)
+	home    string // failure domain of all callers; empty spreads them
 }
 
 func none(*sim, *rand.Rand) {}
@@ -115,6 +116,9 @@
 	callers := make([]*caller, *simCall)
 	for i := range callers {
 		d := sc.domains[i%len(sc.domains)]
+		if sc.home != "" {
+			d = sc.home
+		}
 		callers[i] = &caller{domain: d, picker: pickers(variant, d, i)}
 	}
 	sc.apply(s, rand.New(rand.NewPCG(seed, 3)))
@@ -137,7 +141,7 @@
 		for _, domains := range [][]string{{"a"}, {"a", "b", "c"}} {
 			for _, v := range variants {
 				base := simulate(v, scenario{domains: domains, apply: none}, l, seed)
-				for _, sc := range []scenario{{"stalls", domains, stalls}, {"slow", domains, slows}} {
+				for _, sc := range []scenario{{name: "stalls", domains: domains, apply: stalls}, {name: "slow", domains: domains, apply: slows}} {
 					compare(t, v, sc, base, simulate(v, sc, l, seed), seed)
 				}
 			}
@@ -151,8 +155,9 @@
 		r[i] = float64(s.quantile(q, 0, length)) / float64(base.quantile(q, 0, length))
 	}
 	calls := len(s.ended)
-	t.Logf("seed %d, %d domains, %-15s %-6s p99 %.2fx p99.9 %.2fx, extra sends %.4f", seed, len(sc.domains), variant, sc.name,
-		r[0], r[1], float64(s.picks-calls)/float64(calls))
+	t.Logf("seed %d, %d domains, %-15s %-6s p99 %.2fx p99.9 %.2fx of %v and %v, extra sends %.4f", seed, len(sc.domains), variant, sc.name,
+		r[0], r[1], base.quantile(0.99, 0, length).Round(time.Millisecond), base.quantile(0.999, 0, length).Round(time.Millisecond),
+		float64(s.picks-calls)/float64(calls))
 	if variant == "balancer" {
 		assert.Check(t, r[0] <= 1.5, "seed %d", seed)
 		assert.Check(t, float64(s.picks-calls) <= 0.03*float64(calls), "seed %d", seed)
