internal/deploy: kills of targets, and callers without the system under the same kills

Cause: the histories had no variant that the check must reject, so a check that accepts everything would have passed. Change: targets are killed and replaced under load, once with callers that go through the nodes and once with callers that send straight to the targets and resend after a broken connection.

--- a/internal/deploy/faults_test.go
+++ b/internal/deploy/faults_test.go
@@ -1,6 +1,7 @@
 package deploy_test
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -56,10 +57,13 @@
 	runs    map[string]int  // executions by service and id, counted at the targets
 	told    map[string]int  // callers' answers by outcome
 	ids     map[string]bool // request ids whose sends are in the history; probes of the test are not
+	direct  bool            // the naive variant: callers send straight to the targets
+	kill    map[*deploy.Host]func()
 }
 
 func newWorld(t *testing.T) *world {
 	w := &world{t: t, history: &history.Requests{}, runs: map[string]int{}, told: map[string]int{}, ids: map[string]bool{}}
+	w.kill = map[*deploy.Host]func(){}
 	w.dir = t.TempDir()
 	w.net = newNetwork(t, map[string]string{"127.0.1.1": "koper-a", "127.0.2.1": "koper-b"})
 	d, err := deploy.Start(deploy.Spec{
@@ -107,9 +111,14 @@
 	x := stub.New(s)
 	server := httptest.NewServer(x.Handler())
 	x.SetAddress(strings.TrimPrefix(server.URL, "http://"))
-	ctx := w.t.Context()
+	ctx, cancel := context.WithCancel(w.t.Context())
 	go x.Run(ctx)
 	w.t.Cleanup(server.Close)
+	w.kill[h] = func() {
+		cancel()
+		_ = server.Listener.Close()
+		server.CloseClientConnections()
+	}
 	return strings.TrimPrefix(server.URL, "http://"), nil
 }
 
@@ -144,8 +153,11 @@
 	for attempt := 1; attempt <= 4; attempt++ {
 		h := http.Header{header.RequestID: {id}, header.Attempt: {fmt.Sprint(attempt)}, header.DeadlineMS: {"1500"}}
 		send := w.history.Send(id, attempt)
-		s := deploy.Call(hosts[rng.IntN(len(hosts))].Caller, "/socket-board/assign", "container "+id, h)
+		s := deploy.Call(w.address(rng), "/socket-board/assign", "container "+id, h)
 		outcome, text := fault.Unknown, ""
+		if w.direct && s.Status == http.StatusOK {
+			s.Outcome = "executed" // a target does not name outcomes
+		}
 		switch s.Outcome {
 		case "executed":
 			outcome = fault.Executed
@@ -167,6 +179,32 @@
 	}
 }
 
+// address returns where the next send goes: a node, or in the naive variant a target.
+func (w *world) address(rng *rand.Rand) string {
+	hosts := w.d.Hosts()
+	if !w.direct {
+		return hosts[rng.IntN(len(hosts))].Caller
+	}
+	var targets []string
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, h := range hosts {
+		if h.Service == deploy.Services[0] {
+			targets = append(targets, h.Target)
+		}
+	}
+	return targets[rng.IntN(len(targets))]
+}
+
+// restartTarget breaks all connections of a host's target and starts another one at a new address.
+func (w *world) restartTarget(h *deploy.Host) {
+	w.kill[h]()
+	time.Sleep(200 * time.Millisecond)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	assert.NilError(w.t, w.d.StartTarget(h))
+}
+
 // issue takes a request id from a node.
 func issue(caller string) string {
 	c := http.Client{Timeout: time.Second}
@@ -189,8 +227,8 @@
 // and most requests were executed in spite of the fault.
 func (w *world) check() {
 	w.t.Helper()
-	w.t.Logf("told: %v", w.told)
-	assert.NilError(w.t, w.history.Check())
+	w.t.Logf("seed %d, told: %v", uint64(seed), w.told)
+	assert.NilError(w.t, w.history.Check(), "seed %d", uint64(seed))
 	twice := 0
 	for k, n := range w.runs {
 		if n > 1 && !strings.HasPrefix(k, "reefer-watch ") {
@@ -218,6 +256,29 @@
 	w.check()
 }
 
+// Guards against requests that run twice when a target breaks off what it runs, and against a history check that would
+// not notice: the same kills with callers that send straight to the targets and resend must be rejected.
+func TestRequestsWhenTargetsAreKilled(t *testing.T) {
+	for _, direct := range []bool{false, true} {
+		t.Run(fmt.Sprintf("direct=%v", direct), func(t *testing.T) {
+			w := newWorld(t)
+			w.direct = direct
+			all := w.load(8, 3*time.Second)
+			for range 3 {
+				time.Sleep(600 * time.Millisecond)
+				w.restartTarget(w.d.Host("koper-b", "socket-board"))
+			}
+			all.Wait()
+			if !direct {
+				w.check()
+				return
+			}
+			t.Logf("seed %d, told: %v", uint64(seed), w.told)
+			assert.Assert(t, w.history.Check() != nil, "seed %d: the check accepts callers that run requests twice", uint64(seed))
+		})
+	}
+}
+
 // Guards against a node that acts, after a pause, on what it decided before.
 func TestRequestsWhenNodesAreFrozen(t *testing.T) {
 	w := newWorld(t)
