--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 export GOFLAGS := -buildvcs=false
 GO ?= go
 
-.PHONY: build test demo measure capacity soak generate fmt lint ci
+.PHONY: build test demo measure capacity overhead soak generate fmt lint ci
 
 build:
 	$(GO) build -o bin/ ./cmd/...
@@ -15,6 +15,9 @@
 demo: build
 	bin/demo
 
+overhead: build
+	bin/overhead
+
 generate:
 	@if [ -d proto ]; then PATH="$$(.ci/tools):$$PATH" buf generate; fi
 	@cd daemon && PATH="$$(../.ci/tools):$$PATH" wire gen . 2>&1 | grep -v wrote || true
--- /dev/null
+++ b/cmd/overhead/main.go
@@ -0,0 +1,146 @@
+// Command overhead measures the time that two nodes add to a call, process to process: callers send the same call
+// straight to a target and through two nodes, alternating, at several rates. Arrivals are open-loop and latency counts
+// from the intended start, so that a slow answer does not hide the ones behind it.
+package main
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"sort"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/jessevdk/go-flags"
+
+	"mustardmast/internal/deploy"
+)
+
+type options struct {
+	Bin    string        `long:"bin" default:"bin" description:"directory of the built programs"`
+	Config string        `long:"config" default:"examples/koper.json" description:"configuration text"`
+	Rates  []int         `long:"rate" description:"calls a second; repeatable (default 100, 500, 1500)"`
+	Time   time.Duration `long:"time" default:"3s" description:"time of each run"`
+	Rounds int           `long:"rounds" default:"3" description:"alternations of the two variants at each rate"`
+}
+
+func main() {
+	var o options
+	if _, err := flags.Parse(&o); err != nil {
+		if flags.WroteHelp(err) {
+			return
+		}
+		os.Exit(2)
+	}
+	if len(o.Rates) == 0 {
+		o.Rates = []int{100, 500, 1500}
+	}
+	if err := run(o); err != nil {
+		fmt.Fprintln(os.Stderr, "overhead:", err)
+		os.Exit(1)
+	}
+}
+
+func run(o options) error {
+	dir, err := os.MkdirTemp("", "mustardmast-overhead-")
+	if err != nil {
+		return err
+	}
+	defer func() { _ = os.RemoveAll(dir) }()
+	d, err := deploy.Start(deploy.Spec{Bin: o.Bin, Dir: dir, Domains: []deploy.Domain{{Name: "koper-a", IP: "127.0.0.1"}}})
+	defer d.End()
+	if err != nil {
+		return err
+	}
+	if err := d.Apply(o.Config, 0, "overhead"); err != nil {
+		return err
+	}
+	if err := d.AwaitServing(20 * time.Second); err != nil {
+		return err
+	}
+	const path = "/reefer-watch/register"
+	variants := []struct{ name, url string }{
+		{"direct", "http://" + d.Host("koper-a", "reefer-watch").Target + path},
+		{"one node", "http://" + d.Host("koper-a", "reefer-watch").Caller + path},
+		{"two nodes", "http://" + d.Host("koper-a", "socket-board").Caller + path},
+	}
+	fmt.Println("rate  variant    calls  failed  p50       p99       added p50  added p99")
+	for _, rate := range o.Rates {
+		sum := make([]series, len(variants))
+		for range o.Rounds {
+			for i, v := range variants {
+				sum[i].join(load(v.url, rate, o.Time))
+			}
+		}
+		for i, v := range variants {
+			fmt.Printf("%-5d %-10s %-6d %-7d %-9s %-9s %-10s %s\n", rate, v.name, len(sum[i].took), sum[i].failed,
+				round(sum[i].at(0.5)), round(sum[i].at(0.99)), round(sum[i].at(0.5)-sum[0].at(0.5)),
+				round(sum[i].at(0.99)-sum[0].at(0.99)))
+		}
+	}
+	return nil
+}
+
+func round(d time.Duration) time.Duration { return d.Round(10 * time.Microsecond) }
+
+// series is what one variant gave.
+type series struct {
+	took   []time.Duration
+	failed int
+}
+
+func (s *series) join(o series) {
+	s.took = append(s.took, o.took...)
+	s.failed += o.failed
+	sort.Slice(s.took, func(i, j int) bool { return s.took[i] < s.took[j] })
+}
+
+func (s *series) at(q float64) time.Duration {
+	if len(s.took) == 0 {
+		return 0
+	}
+	return s.took[int(q*float64(len(s.took)-1))]
+}
+
+// load sends calls at a constant rate.
+func load(url string, rate int, d time.Duration) series {
+	client := &http.Client{Timeout: 5 * time.Second, Transport: &http.Transport{MaxIdleConnsPerHost: 256}}
+	defer client.CloseIdleConnections()
+	var (
+		mu  sync.Mutex
+		all sync.WaitGroup
+		out series
+	)
+	start := time.Now()
+	gap := time.Second / time.Duration(rate)
+	for i := range int(d / gap) {
+		due := start.Add(time.Duration(i) * gap)
+		time.Sleep(time.Until(due))
+		all.Add(1)
+		go func() {
+			defer all.Done()
+			ok := post(client, url)
+			took := time.Since(due)
+			mu.Lock()
+			defer mu.Unlock()
+			if !ok {
+				out.failed++
+			}
+			out.took = append(out.took, took)
+		}()
+	}
+	all.Wait()
+	return out
+}
+
+func post(c *http.Client, url string) bool {
+	res, err := c.Post(url, "text/plain", strings.NewReader("container 7"))
+	if err != nil {
+		return false
+	}
+	defer func() { _ = res.Body.Close() }()
+	_, err = io.Copy(io.Discard, res.Body)
+	return err == nil && res.StatusCode == http.StatusOK
+}
--- a/io/target/stub/stub.go
+++ b/io/target/stub/stub.go
@@ -33,6 +33,8 @@
 	Delay   time.Duration // work time of each call
 	Crash   func()        // ends the process; nil breaks the connections only
 
+	Discard bool // count the bytes of request bodies and keep none
+
 	// Executing hears of each execution when it starts, with the answer that it will give, and returns a function to call
 	// at its end.
 	Executing func(id, answer string) (end func())
@@ -130,7 +132,7 @@
 	}
 	t.begin(id, q.Header)
 	defer t.end()
-	body, err := io.ReadAll(q.Body)
+	body, size, err := t.read(q.Body)
 	if err != nil {
 		panic(http.ErrAbortHandler)
 	}
@@ -141,7 +143,7 @@
 		panic(http.ErrAbortHandler)
 	}
 	if t.spec.Executing != nil {
-		defer t.spec.Executing(id, t.text(id, len(body)))()
+		defer t.spec.Executing(id, t.text(id, size))()
 	}
 	if !sleep(q.Context(), t.spec.Delay+time.Duration(f.DelayMS)*time.Millisecond) {
 		return
@@ -153,11 +155,11 @@
 			return
 		}
 	}
-	t.answer(w, f, id, body)
+	t.answer(w, f, id, size)
 }
 
-func (t *Target) answer(w http.ResponseWriter, f Faults, id string, body []byte) {
-	text := t.text(id, len(body))
+func (t *Target) answer(w http.ResponseWriter, f Faults, id string, size int) {
+	text := t.text(id, size)
 	if f.Size > 0 {
 		text = strings.Repeat("x", f.Size)
 	}
@@ -174,6 +176,16 @@
 	return fmt.Sprintf("%s served %s with %d bytes\n", t.spec.Service, id, n)
 }
 
+// read returns the body, or only its size.
+func (t *Target) read(b io.Reader) ([]byte, int, error) {
+	if t.spec.Discard {
+		n, err := io.Copy(io.Discard, b)
+		return nil, int(n), err
+	}
+	body, err := io.ReadAll(b)
+	return body, len(body), err
+}
+
 // next makes one call of the chain, with the headers that tie it to the call that runs.
 func (t *Target) next(q *http.Request, c string) error {
 	path, key, _ := strings.Cut(c, ":")
--- a/node/session_test.go
+++ b/node/session_test.go
@@ -8,6 +8,7 @@
 	"regexp"
 	"sort"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -163,3 +164,24 @@
 	s.send(first, "POST", "/plug-ledger/record", "", "Mustardmast-Retry-Budget", "1")
 	s.check("target-refuses")
 }
+
+// Guards against a refusal under load without a reason, an outcome or a time to come back.
+func TestSessionShed(t *testing.T) {
+	l, first := chain(t)
+	last := l.hosts[2]
+	last.target.Set(stub.Faults{DelayMS: 300})
+	at := last.at
+	at.Slots = 1
+	last.node.Local().Announce(time.Now(), at)
+	var all sync.WaitGroup
+	for range 40 {
+		all.Go(func() {
+			send(t, last.url+"/reefer-watch/register", "x", "Mustardmast-Retry-Budget", "0", "Mustardmast-Priority", "critical")
+		})
+	}
+	time.Sleep(40 * time.Millisecond) // the queue is full for 100 ms
+	s := session{t: t}
+	s.send(first, "POST", "/reefer-watch/register", "", "Mustardmast-Retry-Budget", "0", "Mustardmast-Priority", "low")
+	all.Wait()
+	s.check("shed")
+}
