io/target: watchers hear of changes in their order

Cause: a start in twelve left a ready target without calls; its node had declared joining after ready, because a periodic check and the first announcement ran their watchers in the other order. Ruled out: balance and membership, the node's own view lacked the target. Change: one lock over a change and its watchers.

--- a/io/target/local.go
+++ b/io/target/local.go
@@ -30,6 +30,7 @@
 
 // Local is the target on this host. The zero value has none.
 type Local struct {
+	order    sync.Mutex // held over a change and its watchers, so that they hear of changes in their order
 	mu       sync.RWMutex
 	last     Announcement
 	at       time.Time
@@ -45,7 +46,8 @@
 	refusal      fault.Kind
 }
 
-// Watch calls f after every change of the announcement or of readiness, with the error that refuses work, if any.
+// Watch calls f after every change of the announcement or of readiness, with the error that refuses work, if any. It
+// must not change the target itself.
 func (l *Local) Watch(f func(Announcement, error)) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -72,6 +74,8 @@
 func (l *Local) Check(now time.Time) { l.change(now, func() {}) }
 
 func (l *Local) change(now time.Time, f func()) {
+	l.order.Lock()
+	defer l.order.Unlock()
 	l.mu.Lock()
 	f()
 	a, ws := l.last, l.watchers
