core/balance: few samples of the other domains do not draw calls away

One quick answer from another domain made the average of that side, and nothing corrected it while no calls went there.

Ruled out: a plain minimum of samples (jumps when it is reached).

Change: an average counts by its recent samples against 20 for the assumption that the side is like the other one, plus the crossing.

--- a/core/balance/spill.go
+++ b/core/balance/spill.go
@@ -25,9 +25,15 @@
 type average struct {
 	value float64
 	at    time.Duration
+	n     float64 // samples, forgotten like the evidence on one member
 }
 
+// trusted is the number of samples that count as much as the assumption without any: a few quick answers from a side
+// that gets no calls must not draw calls there.
+const trusted = 20
+
 func (a *average) add(t time.Duration, s *Settings, x float64) {
+	a.n = a.samples(t, s) + 1
 	if a.value == 0 {
 		a.value = x
 	} else {
@@ -36,6 +42,16 @@
 	a.at = t
 }
 
+func (a *average) samples(t time.Duration, s *Settings) float64 {
+	return a.n * math.Exp(-float64(max(t-a.at, 0))/float64(s.Fade))
+}
+
+// estimate returns the average, drawn to assumed as far as samples are few.
+func (a *average) estimate(t time.Duration, s *Settings, assumed float64) float64 {
+	n := a.samples(t, s)
+	return (n*a.value + trusted*assumed) / (n + trusted)
+}
+
 func (p *spill) sample(t time.Duration, s *Settings, local bool, x float64) {
 	if local {
 		p.near.add(t, s, x)
@@ -51,9 +67,9 @@
 		return
 	}
 	p.at = t
-	near, far := p.near.value, p.far.value
-	if far == 0 {
-		far = near + float64(s.AssumedCrossing)
+	near, far := p.near.value, p.far.estimate(t, s, p.near.value+float64(s.AssumedCrossing))
+	if p.far.value > 0 {
+		near = p.near.estimate(t, s, p.far.value)
 	}
 	near *= crowding(s, members, true)
 	far *= crowding(s, members, false)
