core/limit: a trial is measured after the calls of the higher value have left

Cause: the first completions after a step down still carried the waiting of the higher value, so the trial found no gain and the limit of an overstated target returned to the stated slots. Ruled out: longer trials; the wrong samples come first whatever the length. Change: a trial is measured from twice the time that a call holds its slot. Test of concurrent use of core/admit.

--- a/core/admit/admit_test.go
+++ b/core/admit/admit_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"runtime"
+	"sync"
 	"testing"
 	"time"
 
@@ -128,6 +130,45 @@
 	assert.Equal(m.t, m.a.Load(m.now).InFlight, uint32(0))
 }
 
+// Guards against a data race and a slot that is lost between callers that use the admitter at the same time.
+func TestConcurrentUse(t *testing.T) {
+	a := admit.New(admit.Spec{Slots: 4, Backers: backers})
+	var waiting sync.Map // ticket -> chan of its verdict
+	give := func(vs []mustardmast.Verdict) {
+		for _, v := range vs {
+			if c, ok := waiting.LoadAndDelete(v.Ticket); ok {
+				c.(chan mustardmast.Verdict) <- v
+			}
+		}
+	}
+	var wg sync.WaitGroup
+	for g := range uint64(8) {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			for i := range uint64(300) {
+				id, c := g*1000+i, make(chan mustardmast.Verdict, 1)
+				waiting.Store(id, c)
+				v := a.Offer(epoch, work(id, call.Priority(i%4), "a", time.Hour))
+				for v.Action == mustardmast.Wait {
+					give(a.Tick(epoch))
+					select {
+					case v = <-c:
+					default:
+						runtime.Gosched()
+					}
+				}
+				if v.Action == mustardmast.Run {
+					give(a.Done(epoch, mustardmast.Completion{Ticket: id, Latency: time.Millisecond}))
+				}
+			}
+		}()
+	}
+	wg.Wait()
+	l := a.Load(epoch)
+	assert.Equal(t, l.InFlight+l.Queued, uint32(0))
+}
+
 // Guards against a share that is lent and not given back within a second: b comes back with half of the capacity, its
 // share, while a asks for three times the capacity, and nearly all of b's calls run from the second second on.
 func TestShareIsGivenBack(t *testing.T) {
--- a/core/limit/limit.go
+++ b/core/limit/limit.go
@@ -37,6 +37,8 @@
 	// trial that has too few completions ends after longestTrial.
 	leastTrial   = 8
 	longestTrial = 2 * time.Second
+	// settleFactor is the time before a trial is measured, in relation to the time that a call holds its slot.
+	settleFactor = 2
 	// refusedPart is the part of refusals by the target that shrinks the limit.
 	refusedPart = 0.05
 	// A target is stalled after stallFactor times the usual time between two completions, and not before leastGap. By
@@ -65,8 +67,8 @@
 	slots int
 	value float64
 	table [rows]row
-	from  float64 // value that a trial returns to, 0 when there is none
-	tried time.Time
+	from  float64   // value that a trial returns to, 0 when there is none
+	tried time.Time // start of the trial's measurement
 
 	since   time.Time // start of the window
 	count   int
@@ -151,6 +153,9 @@
 		l.held = s.Held.Seconds()
 	}
 	l.held += (s.Held.Seconds() - l.held) * heldWeight
+	if now.Before(l.tried) {
+		return
+	}
 	l.count++
 	l.latency += s.Latency.Seconds()
 }
@@ -200,7 +205,8 @@
 		l.grow()
 	case !l.table[i+1].known(now) || l.table[i].latency > l.table[i+1].latency*tryAbove:
 		l.table[i+1] = row{}
-		l.from, l.tried = l.value, now
+		// Calls that started before the step still carry the waiting of the higher value.
+		l.from, l.tried = l.value, now.Add(time.Duration(settleFactor*l.held*float64(time.Second)))
 		l.set(l.value * step)
 	case l.table[i].latency < l.table[i+1].latency*crowded:
 		l.grow()
