io/dispatch, io/control: truthful outcome after a repeat, numbered events everywhere

Cause: a call whose first send broke and whose repeat was refused was told not-executed, though the first may have run; the new test shows it. A repeat's refusal is now weakened. Events of the control service have numbers; a crash names the requests that it puts into quarantine; a huge retry-after no longer overflows.

--- a/cmd/capacity/shell.go
+++ b/cmd/capacity/shell.go
@@ -14,6 +14,7 @@
 	"mustardmast"
 	"mustardmast/core/fault"
 	"mustardmast/io/control"
+	"mustardmast/io/eventlog"
 )
 
 // tickers is a timer service on the wall clock.
@@ -75,7 +76,7 @@
 			Self: self, Seeds: seeds, Platform: noPlatform{}, Timers: tickers{},
 			Decode:  func([]byte) (uint64, string, []byte, error) { return 0, "", nil, nil },
 			Install: func(uint64, string, []byte) error { return nil },
-			Rand:    rand.New(rand.NewPCG(o.seed, uint64(i))), Log: zap.NewNop(),
+			Rand:    rand.New(rand.NewPCG(o.seed, uint64(i))), Log: eventlog.New(zap.NewNop()),
 		})
 		if err != nil {
 			fmt.Println("  no control plane:", err)
--- a/daemon/admin.go
+++ b/daemon/admin.go
@@ -29,17 +29,7 @@
 	last string
 }
 
-func (a *alarms) raise(l *eventlog.Log, m rollout.Alarm) {
-	event := eventlog.ConfigOlder
-	switch m.Kind {
-	case rollout.Conflict:
-		event = eventlog.ConfigDiffers
-	case rollout.Unreadable:
-		event = eventlog.ConfigRejected
-	}
-	l.Write(event, zap.Stringer("source", m.Source), zap.Uint64("seen-generation", m.Seen.Generation),
-		zap.String("seen-change", m.Seen.ChangeID), zap.Uint64("kept-generation", m.Kept.Generation),
-		zap.String("kept-change", m.Kept.ChangeID))
+func (a *alarms) raise(m rollout.Alarm) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.last = m.Kind.String() + ": " + m.Source.String() + " shows generation " + strconv.FormatUint(m.Seen.Generation, 10) +
--- a/daemon/providers.go
+++ b/daemon/providers.go
@@ -17,12 +17,14 @@
 	"mustardmast"
 	"mustardmast/core/config"
 	"mustardmast/core/ledger"
+	"mustardmast/core/member"
 	"mustardmast/core/quarantine"
 	"mustardmast/core/register"
 	"mustardmast/core/requestid"
 	"mustardmast/core/rollout"
 	"mustardmast/io/control"
 	"mustardmast/io/eventlog"
+	"mustardmast/io/operator"
 	"mustardmast/io/platform"
 	"mustardmast/io/settings"
 	"mustardmast/io/store"
@@ -86,13 +88,12 @@
 
 func newControl(
 	s settings.Settings, i identity, self mustardmast.Member, p mustardmast.Platform, t *tick.Service,
-	configs *node.Configs, a *alarms, r *register.Register, q *quarantine.Quarantine, z *zap.Logger, l *eventlog.Log,
+	configs *node.Configs, a *alarms, r *register.Register, q *quarantine.Quarantine, l *eventlog.Log,
 ) (*control.Control, error) {
 	return control.New(control.Settings{
 		Self: self, Listen: s.PeerListenAddress(), Seeds: s.Seeds(), Platform: p, Timers: t, Decode: decode,
 		Install: func(generation uint64, changeID string, text []byte) error {
 			if err := configs.Install(generation, changeID, text); err != nil {
-				l.Write(eventlog.ConfigRejected, zap.Uint64("generation", generation), zap.Error(err))
 				return err
 			}
 			l.Write(eventlog.ConfigInstalled, zap.Uint64("generation", generation), zap.String("change-id", changeID))
@@ -101,11 +102,15 @@
 		Outcomes:   registerOutcomes{register: r, clock: t},
 		Quarantine: q,
 		Client:     controlClient(s),
-		OnAlarm:    func(m rollout.Alarm) { a.raise(l, m) },
-		OnDigest:   func(_ mustardmast.NodeID, digest []byte) { q.Merge(t.Now(), control.DecodeDigest(digest)) },
-		Wanted:     func() []string { return wanted(configs) },
-		Rand:       rand.New(rand.NewPCG(i.seed, 2)),
-		Log:        z,
+		OnChange: func(m member.Change) {
+			l.Write(eventlog.MemberChanged, zap.String("member", m.Member.Name), zap.Stringer("address", m.Member.Address),
+				zap.String("state", operator.StateName(m.Member.State)))
+		},
+		OnAlarm:  func(m rollout.Alarm) { a.raise(m) },
+		OnDigest: func(_ mustardmast.NodeID, digest []byte) { q.Merge(t.Now(), control.DecodeDigest(digest)) },
+		Wanted:   func() []string { return wanted(configs) },
+		Rand:     rand.New(rand.NewPCG(i.seed, 2)),
+		Log:      l,
 	})
 }
 
--- a/daemon/wire_gen.go
+++ b/daemon/wire_gen.go
@@ -38,7 +38,7 @@
 		return nil, err
 	}
 	log := eventlog.New(logger)
-	control, err := newControl(s, daemonIdentity, member, client, service, configs, daemonAlarms, register, quarantine, logger, log)
+	control, err := newControl(s, daemonIdentity, member, client, service, configs, daemonAlarms, register, quarantine, log)
 	if err != nil {
 		return nil, err
 	}
--- a/io/control/configure.go
+++ b/io/control/configure.go
@@ -15,6 +15,7 @@
 	"mustardmast/core/rollout"
 	"mustardmast/core/spread"
 	"mustardmast/io/control/controlv1"
+	"mustardmast/io/eventlog"
 )
 
 const (
@@ -61,7 +62,7 @@
 func (c *Control) pullFrom(id mustardmast.NodeID) {
 	if m, ok := c.members.Find(id); ok {
 		if _, err := c.pull(m.Address); err != nil && c.ctx.Err() == nil {
-			c.s.Log.Debug("configuration not pulled", zap.Stringer("from", m.Address), zap.Error(err))
+			c.s.Log.Write(eventlog.ConfigNotPulled, zap.Stringer("from", m.Address), zap.Error(err))
 		}
 	}
 }
@@ -110,7 +111,7 @@
 func (c *Control) offer(s rollout.Source, v rollout.Version, text []byte, base uint64, edits []spread.Edit) {
 	installed, alarm := c.rollout.Offer(s, v, func() error {
 		if err := c.s.Install(v.Generation, v.ChangeID, text); err != nil {
-			c.s.Log.Error("configuration not usable", zap.Uint64("generation", v.Generation), zap.Error(err))
+			c.s.Log.Write(eventlog.ConfigRejected, zap.Uint64("generation", v.Generation), zap.Error(err))
 			return err
 		}
 		// Offers are handled one at a time, so the history cannot move between the check and the change.
@@ -125,8 +126,7 @@
 		c.s.OnAlarm(alarm)
 	}
 	if alarm.Kind != 0 {
-		c.s.Log.Error("configuration alarm", zap.Stringer("alarm", alarm.Kind), zap.Stringer("source", s),
-			zap.Uint64("seen-generation", alarm.Seen.Generation), zap.String("seen-change", alarm.Seen.ChangeID),
+		c.s.Log.Write(alarmEvent(alarm.Kind), zap.Stringer("source", s), zap.Uint64("seen-generation", alarm.Seen.Generation), zap.String("seen-change", alarm.Seen.ChangeID),
 			zap.Uint64("kept-generation", alarm.Kept.Generation), zap.String("kept-change", alarm.Kept.ChangeID))
 	}
 	if installed {
@@ -169,11 +169,22 @@
 	return out
 }
 
+func alarmEvent(k rollout.AlarmKind) eventlog.Event {
+	switch k {
+	case rollout.Conflict:
+		return eventlog.ConfigDiffers
+	case rollout.Unreadable:
+		return eventlog.ConfigRejected
+	default:
+		return eventlog.ConfigOlder
+	}
+}
+
 // askSeed asks one seed at the start. It is asked once; later news comes with gossip.
 func (c *Control) askSeed(seed netip.AddrPort) {
 	generation, err := c.pull(seed)
 	if err != nil {
-		c.s.Log.Debug("seed did not respond", zap.Stringer("seed", seed), zap.Error(err))
+		c.s.Log.Write(eventlog.SeedSilent, zap.Stringer("seed", seed), zap.Error(err))
 	}
 	c.rollout.Responded(c.s.Timers.Now(), generation)
 }
@@ -199,13 +210,13 @@
 func (c *Control) offerObject(o mustardmast.Object, err error) uint64 {
 	if err != nil || o.Version == 0 {
 		if err != nil && c.ctx.Err() == nil && fault.KindOf(err) != fault.NotFound {
-			c.s.Log.Warn("platform did not give the configuration", zap.Error(err))
+			c.s.Log.Write(eventlog.PlatformDown, zap.Error(err))
 		}
 		return 0
 	}
 	generation, changeID, text, err := c.s.Decode(o.Value)
 	if err != nil {
-		c.s.Log.Error("configuration object not readable", zap.Uint64("version", o.Version), zap.Error(err))
+		c.s.Log.Write(eventlog.ConfigObjectUnreadable, zap.Uint64("version", o.Version), zap.Error(err))
 		return 0
 	}
 	c.offer(rollout.Platform, rollout.Version{Generation: generation, ChangeID: changeID}, text, 0, nil)
--- a/io/control/control.go
+++ b/io/control/control.go
@@ -30,6 +30,7 @@
 	"mustardmast/core/member"
 	"mustardmast/core/rollout"
 	"mustardmast/core/spread"
+	"mustardmast/io/eventlog"
 )
 
 const (
@@ -61,7 +62,7 @@
 	OnChange   func(member.Change)
 	OnAlarm    func(rollout.Alarm)
 	Rand       *rand.Rand
-	Log        *zap.Logger
+	Log        *eventlog.Log
 	Client     *http.Client // for control calls; nil makes one that speaks unencrypted HTTP/2
 }
 
@@ -235,7 +236,7 @@
 	for _, s := range out.Sends {
 		b, err := encodePacket(s.Packet)
 		if err != nil {
-			c.s.Log.Error("gossip datagram not sent", zap.Error(err))
+			c.s.Log.Write(eventlog.GossipNotSent, zap.Error(err))
 			continue
 		}
 		c.meter.sent.Add(uint64(len(b) + member.Overhead))
--- a/io/control/control_test.go
+++ b/io/control/control_test.go
@@ -19,6 +19,7 @@
 
 	"mustardmast"
 	"mustardmast/core/fault"
+	"mustardmast/io/eventlog"
 )
 
 // wallTimers is a timer service on the wall clock.
@@ -157,7 +158,7 @@
 			n.texts = append(n.texts, string(text))
 			return nil
 		},
-		Rand: rand.New(rand.NewPCG(uint64(i), 1)), Log: zap.New(core),
+		Rand: rand.New(rand.NewPCG(uint64(i), 1)), Log: eventlog.New(zap.New(core)),
 	})
 	assert.NilError(t, err)
 	mux := http.NewServeMux()
@@ -217,7 +218,7 @@
 	alarmed := func() bool {
 		count := 0
 		for _, n := range nodes {
-			count += n.logs.FilterMessage("configuration alarm").Len()
+			count += n.logs.FilterMessage("config-older").Len()
 		}
 		return count == 2
 	}
--- a/io/control/seeds.go
+++ b/io/control/seeds.go
@@ -12,6 +12,7 @@
 	"mustardmast"
 	"mustardmast/core/fault"
 	"mustardmast/core/spread"
+	"mustardmast/io/eventlog"
 )
 
 const (
@@ -58,7 +59,7 @@
 	}
 	var so seedsObject
 	if err == nil && o.Version != 0 && json.Unmarshal(o.Value, &so) != nil {
-		c.s.Log.Warn("seeds object not readable", zap.String("object", name))
+		c.s.Log.Write(eventlog.SeedsUnreadable, zap.String("object", name))
 	}
 	if alone && len(so.Addresses) > 0 && !slices.Equal(so.Addresses, []netip.AddrPort{c.s.Self.Address}) {
 		c.members.SetSeeds(append(slices.Clone(c.s.Seeds), so.Addresses[:min(len(so.Addresses), maxSeeds)]...))
@@ -74,7 +75,7 @@
 	c.meter.platformCalls.Add(1)
 	// A conflict or an unknown outcome is settled by the next refresh.
 	if _, err = c.s.Platform.Put(ctx, mustardmast.Object{Name: name, Version: o.Version, Value: value}); err != nil {
-		c.s.Log.Debug("seeds object not written", zap.Error(err))
+		c.s.Log.Write(eventlog.SeedsNotWritten, zap.Error(err))
 	}
 }
 
--- a/io/dispatch/hedge.go
+++ b/io/dispatch/hedge.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"mustardmast"
+	"mustardmast/core/fault"
 	"mustardmast/core/retry"
 	"mustardmast/io/execute"
 	"mustardmast/io/message"
@@ -50,7 +51,13 @@
 	h.start(ctx, 1, second, sendOptions{repeats: h.tries.repeats()})
 	s := <-h.done
 	if s.err != nil {
-		return h.finish(<-h.done)
+		h.cancel[s.index]()
+		ran := fault.From(s.err).Outcome() != fault.NotExecuted
+		a, err := h.finish(<-h.done)
+		if err != nil {
+			err = mayHaveRun(err, ran)
+		}
+		return a, err
 	}
 	h.cancel[1-s.index]()
 	go h.drop()
--- a/io/dispatch/repeat.go
+++ b/io/dispatch/repeat.go
@@ -21,6 +21,7 @@
 	}
 	b := retry.NewBudget(r.Call.Retries())
 	var t tries
+	ran := false // whether a send before this one may have been executed
 	for n := 1; ; n++ {
 		a, err := d.try(ctx, r, b, &t, withheld)
 		withheld = 0 // counted by the first send
@@ -31,12 +32,22 @@
 			}
 			return a, nil
 		}
+		ran = ran || fault.From(err).Outcome() != fault.NotExecuted
 		if !d.again(ctx, r.Call, b, err, n) {
-			return a, err
+			return a, mayHaveRun(err, ran)
 		}
 	}
 }
 
+// mayHaveRun returns err with the outcome unknown if another send of the same call may have been executed: that the
+// last one was refused says nothing about the others.
+func mayHaveRun(err error, ran bool) error {
+	if e := fault.From(err); ran && e.Outcome() == fault.NotExecuted {
+		return e.WithOutcome(fault.Unknown)
+	}
+	return err
+}
+
 // shedRetryAfter is told to callers that are refused by a learned level. Levels are set anew every 100 ms and recover
 // over a second or so.
 const shedRetryAfter = 500 * time.Millisecond
--- a/io/eventlog/eventlog.go
+++ b/io/eventlog/eventlog.go
@@ -17,25 +17,30 @@
 // Events. Numbers in the hundreds group them: 100 process, 200 target, 300 membership, 400 configuration, 500 calls,
 // 600 platform.
 const (
-	Started            Event = 100
-	Stopping           Event = 101
-	Stopped            Event = 102
-	DrainTimedOut      Event = 103
-	ServerFailed       Event = 104
-	TargetReady        Event = 200
-	TargetNotReady     Event = 201
-	TargetDraining     Event = 202
-	TargetCrashed      Event = 203
-	MemberChanged      Event = 300
-	ConfigInstalled    Event = 400
-	ConfigOlder        Event = 401
-	ConfigDiffers      Event = 402
-	ConfigRejected     Event = 403
-	RequestQuarantined Event = 500
-	QuarantineCleared  Event = 501
-	HandlerPanicked    Event = 502
-	PlatformDown       Event = 600
-	PlatformUp         Event = 601
+	Started                Event = 100
+	Stopping               Event = 101
+	Stopped                Event = 102
+	DrainTimedOut          Event = 103
+	ServerFailed           Event = 104
+	TargetReady            Event = 200
+	TargetNotReady         Event = 201
+	TargetDraining         Event = 202
+	TargetCrashed          Event = 203
+	MemberChanged          Event = 300
+	GossipNotSent          Event = 301
+	ConfigInstalled        Event = 400
+	ConfigOlder            Event = 401
+	ConfigDiffers          Event = 402
+	ConfigRejected         Event = 403
+	ConfigNotPulled        Event = 404
+	SeedSilent             Event = 405
+	ConfigObjectUnreadable Event = 406
+	RequestQuarantined     Event = 500
+	QuarantineCleared      Event = 501
+	HandlerPanicked        Event = 502
+	PlatformDown           Event = 600
+	SeedsUnreadable        Event = 602
+	SeedsNotWritten        Event = 603
 )
 
 // Row is one line of the catalogue.
@@ -47,25 +52,30 @@
 
 // Events is the catalogue.
 var Events = map[Event]Row{
-	Started:            {zapcore.InfoLevel, "started", "the node listens on its addresses"},
-	Stopping:           {zapcore.InfoLevel, "stopping", "a planned stop began; new calls are refused as not executed"},
-	Stopped:            {zapcore.InfoLevel, "stopped", "the process ends"},
-	DrainTimedOut:      {zapcore.WarnLevel, "drain-timed-out", "calls were still in flight at the end of the drain timeout"},
-	ServerFailed:       {zapcore.ErrorLevel, "server-failed", "a listener ended with an error"},
-	TargetReady:        {zapcore.InfoLevel, "target-ready", "the target on this host takes calls"},
-	TargetNotReady:     {zapcore.WarnLevel, "target-not-ready", "the target missed its heartbeats or has not announced itself"},
-	TargetDraining:     {zapcore.InfoLevel, "target-draining", "the target gets no new calls"},
-	TargetCrashed:      {zapcore.WarnLevel, "target-crashed", "the target broke the connections of all calls in flight"},
-	MemberChanged:      {zapcore.InfoLevel, "member-changed", "a member's state changed in this node's view"},
-	ConfigInstalled:    {zapcore.InfoLevel, "config-installed", "a newer generation of the configuration is in force"},
-	ConfigOlder:        {zapcore.ErrorLevel, "config-older", "the platform or a peer shows a lower generation than the one in force; it was not installed"},
-	ConfigDiffers:      {zapcore.ErrorLevel, "config-differs", "another text has the generation in force; it was not installed"},
-	ConfigRejected:     {zapcore.ErrorLevel, "config-rejected", "a newer text has faults; the one in force stays"},
-	RequestQuarantined: {zapcore.WarnLevel, "request-quarantined", "requests with this fingerprint crashed targets and are refused"},
-	QuarantineCleared:  {zapcore.InfoLevel, "quarantine-cleared", "an operator cleared a fingerprint"},
-	HandlerPanicked:    {zapcore.ErrorLevel, "handler-panicked", "a fault of the node itself; the call was answered as internal"},
-	PlatformDown:       {zapcore.WarnLevel, "platform-down", "the platform does not answer; the configuration in force stays"},
-	PlatformUp:         {zapcore.InfoLevel, "platform-up", "the platform answers again"},
+	Started:                {zapcore.InfoLevel, "started", "the node listens on its addresses"},
+	Stopping:               {zapcore.InfoLevel, "stopping", "a planned stop began; new calls are refused as not executed"},
+	Stopped:                {zapcore.InfoLevel, "stopped", "the process ends"},
+	DrainTimedOut:          {zapcore.WarnLevel, "drain-timed-out", "calls were still in flight at the end of the drain timeout"},
+	ServerFailed:           {zapcore.ErrorLevel, "server-failed", "a listener ended with an error"},
+	TargetReady:            {zapcore.InfoLevel, "target-ready", "the target on this host takes calls"},
+	TargetNotReady:         {zapcore.WarnLevel, "target-not-ready", "the target missed its heartbeats or has not announced itself"},
+	TargetDraining:         {zapcore.InfoLevel, "target-draining", "the target gets no new calls"},
+	TargetCrashed:          {zapcore.WarnLevel, "target-crashed", "the target broke the connections of all calls in flight"},
+	MemberChanged:          {zapcore.InfoLevel, "member-changed", "a member's state changed in this node's view"},
+	ConfigInstalled:        {zapcore.InfoLevel, "config-installed", "a newer generation of the configuration is in force"},
+	ConfigOlder:            {zapcore.ErrorLevel, "config-older", "the platform or a peer shows a lower generation than the one in force; it was not installed"},
+	ConfigDiffers:          {zapcore.ErrorLevel, "config-differs", "another text has the generation in force; it was not installed"},
+	ConfigRejected:         {zapcore.ErrorLevel, "config-rejected", "a newer text has faults; the one in force stays"},
+	ConfigNotPulled:        {zapcore.DebugLevel, "config-not-pulled", "a peer did not give the configuration that it announced; another one is asked"},
+	SeedSilent:             {zapcore.DebugLevel, "seed-silent", "a peer to start from does not answer"},
+	ConfigObjectUnreadable: {zapcore.ErrorLevel, "config-object-unreadable", "the platform's configuration object cannot be read; the one in force stays"},
+	GossipNotSent:          {zapcore.ErrorLevel, "gossip-not-sent", "a datagram to another node could not be sent"},
+	RequestQuarantined:     {zapcore.WarnLevel, "request-quarantined", "requests with this fingerprint crashed targets and are refused"},
+	QuarantineCleared:      {zapcore.InfoLevel, "quarantine-cleared", "an operator cleared a fingerprint"},
+	HandlerPanicked:        {zapcore.ErrorLevel, "handler-panicked", "a fault of the node itself; the call was answered as internal"},
+	PlatformDown:           {zapcore.WarnLevel, "platform-down", "the platform does not answer; the configuration in force stays"},
+	SeedsUnreadable:        {zapcore.WarnLevel, "seeds-unreadable", "the object with first peers cannot be read; it is written anew"},
+	SeedsNotWritten:        {zapcore.DebugLevel, "seeds-not-written", "the object with first peers was not written; the next refresh tries again"},
 }
 
 // Log writes events.
--- a/io/execute/crash.go
+++ b/io/execute/crash.go
@@ -29,7 +29,7 @@
 	quarantine *quarantine.Quarantine
 	running    *Running
 	teller     Teller
-	crashed    func(service string, inFlight int)
+	crashed    func(service string, inFlight []*Execution)
 
 	mu     sync.Mutex
 	number uint32
@@ -65,15 +65,19 @@
 	number := c.number
 	c.mu.Unlock()
 	defer close(l.done)
-	inFlight := c.running.fingerprints()
+	inFlight := c.running.all()
 	if accepts(a) {
 		return // one connection broke; the process lives
 	}
-	c.quarantine.Crashed(now, c.id, number, inFlight)
-	c.crashed(a.Service, len(inFlight))
+	fs := make([]quarantine.Fingerprint, len(inFlight))
+	for i, e := range inFlight {
+		fs[i] = e.fingerprint
+	}
+	c.quarantine.Crashed(now, c.id, number, fs)
+	c.crashed(a.Service, inFlight)
 	ctx, cancel := context.WithTimeout(context.Background(), crashTell)
 	defer cancel()
-	c.teller.Tell(ctx, a.Service, c.quarantine.About(now, inFlight))
+	c.teller.Tell(ctx, a.Service, c.quarantine.About(now, fs))
 }
 
 // accepts reports whether the target still takes connections.
--- a/io/execute/executor.go
+++ b/io/execute/executor.go
@@ -66,7 +66,7 @@
 	Teller     Teller
 	Levels     *level.Table
 	Below      *level.Below
-	Crashed    func(service string, inFlight int) // hears of each crash of the target
+	Crashed    func(service string, inFlight []*Execution) // hears of each crash of the target
 }
 
 // New returns an executor.
--- a/io/execute/running.go
+++ b/io/execute/running.go
@@ -37,14 +37,14 @@
 	return e, ok
 }
 
-// fingerprints returns what runs now, for the evidence of a crash.
-func (r *Running) fingerprints() []quarantine.Fingerprint {
-	var l []quarantine.Fingerprint
+// all returns what runs now, for the evidence of a crash.
+func (r *Running) all() []*Execution {
+	var l []*Execution
 	for i := range r.shards {
 		s := &r.shards[i]
 		s.mu.Lock()
 		for _, e := range s.m {
-			l = append(l, e.fingerprint)
+			l = append(l, e)
 		}
 		s.mu.Unlock()
 	}
@@ -105,6 +105,9 @@
 // Call returns the call.
 func (e *Execution) Call() call.Call { return e.call }
 
+// Fingerprint returns what stands for all requests with this content.
+func (e *Execution) Fingerprint() quarantine.Fingerprint { return e.fingerprint }
+
 // Grant takes retries for a sub-call out of the budget. Other sub-calls may run beside it, so it does not get all.
 func (e *Execution) Grant() *retry.Grant { return e.budget.Grant(false) }
 
--- a/io/header/answer.go
+++ b/io/header/answer.go
@@ -67,12 +67,15 @@
 	default:
 		e = e.WithOutcome(fault.Unknown)
 	}
-	if ms, err := strconv.Atoi(h.Get(RetryAfterMS)); err == nil && ms > 0 {
+	if ms, err := strconv.Atoi(h.Get(RetryAfterMS)); err == nil && ms > 0 && ms <= maxRetryAfterMS {
 		e = e.WithRetryAfter(time.Duration(ms) * time.Millisecond)
 	}
 	return e
 }
 
+// maxRetryAfterMS is an hour. A longer wait is of no use to a call, and one near the largest integer overflows.
+const maxRetryAfterMS = 3_600_000
+
 // shorten bounds a detail, which can hold text from outside.
 func shorten(s string) string {
 	const most = 300
--- a/io/header/header_test.go
+++ b/io/header/header_test.go
@@ -74,3 +74,11 @@
 	assert.Assert(t, ok)
 	assert.Equal(t, out, in)
 }
+
+// Guards against a wait that overflows and becomes negative; found by fuzzing.
+func TestHugeRetryAfterIsIgnored(t *testing.T) {
+	h := http.Header{}
+	h.Set(header.Error, fault.Shed.String())
+	h.Set(header.RetryAfterMS, "9223372036854775807")
+	assert.Equal(t, header.ReadError(h).RetryAfter(), time.Duration(0))
+}
--- a/node/node.go
+++ b/node/node.go
@@ -9,6 +9,7 @@
 	"context"
 	"net"
 	"net/http"
+	"strconv"
 	"sync"
 	"time"
 
@@ -106,9 +107,7 @@
 	n.executor = execute.New(execute.Parts{
 		Self: p.Self, Clock: p.Timers, Members: p.Members, Admitter: n.admit, Local: n.local, Sender: n.targets,
 		Running: n.running, Register: n.register, Quarantine: p.Quarantine, Teller: p.Teller, Levels: n.levels, Below: below,
-		Crashed: func(service string, inFlight int) {
-			p.Log.Write(eventlog.TargetCrashed, zap.String("service", service), zap.Int("in-flight", inFlight))
-		},
+		Crashed: n.targetCrashed,
 	})
 	n.dispatcher = dispatch.New(dispatch.Parts{
 		Self: p.Self, Clock: p.Timers, Members: p.Members,
@@ -246,3 +245,18 @@
 
 // RegisterLen returns the number of attempts that this node remembers.
 func (n *Node) RegisterLen() int { return n.register.Len() }
+
+// targetCrashed logs a crash, and by name the requests that it has put into quarantine.
+func (n *Node) targetCrashed(service string, inFlight []*execute.Execution) {
+	n.parts.Log.Write(eventlog.TargetCrashed, zap.String("service", service), zap.Int("in-flight", len(inFlight)))
+	now := n.parts.Timers.Now()
+	for _, e := range inFlight {
+		if n.parts.Quarantine.State(now, e.Fingerprint()) != quarantine.Quarantined {
+			continue
+		}
+		c := e.Call()
+		n.parts.Log.Write(eventlog.RequestQuarantined, zap.String("fingerprint", strconv.FormatUint(uint64(e.Fingerprint()), 16)),
+			zap.String("service", c.Service()), zap.String("method", c.Method()), zap.String("backer", c.Backer()),
+			zap.String("request-id", c.ID()))
+	}
+}
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -3,6 +3,7 @@
 import (
 	"strings"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -51,3 +52,16 @@
 	a := send(t, l.hosts[0].url+"/reefer-watch/register", "", "Mustardmast-Retry-Budget", "0")
 	assert.Assert(t, a.err != nil || a.status >= 500, "%+v", a.status)
 }
+
+// Guards against a caller that is told not-executed because its last send was refused, although an earlier send of the
+// same call may have run.
+func TestRefusedRepeatIsNotToldAsNotExecuted(t *testing.T) {
+	l := newCluster(t, koper())
+	first := l.add("socket-board", "koper-a", stub.Spec{})
+	var last *host
+	last = l.add("reefer-watch", "koper-a", stub.Spec{Crash: func() { last.node.Local().Drain(time.Now()) }})
+	last.target.Set(stub.Faults{CrashOn: "boom"})
+	a := send(t, first.url+"/reefer-watch/register", "boom")
+	assert.Equal(t, len(last.target.Executions()), 1)
+	assert.Equal(t, a.outcome, "unknown", a.in)
+}
