--- a/internal/measure/leg.go
+++ b/internal/measure/leg.go
@@ -32,6 +32,8 @@
 	member mustardmast.Member
 	sent   time.Duration
 	over   bool
+
+	reserved bool // the picker allowed a second send, and none was made
 }
 
 const (
@@ -110,13 +112,16 @@
 
 func (l *leg) hedge(c call.Call) {
 	d, ok := l.from.picker.HedgeAfter(l.w.time(), c)
-	if !ok || l.req.long {
+	if !ok {
 		return
 	}
+	first := l.open[0]
+	first.reserved = true
 	l.w.after(d, func() {
-		if l.done || len(l.open) != 1 || l.open[0].over || l.w.now >= l.deadline || !l.from.hedge(l.service) {
+		if l.done || len(l.open) != 1 || l.open[0].over || l.w.now >= l.deadline {
 			return
 		}
+		first.reserved = false
 		s := c.Spec()
 		s.Attempt++
 		if l.try(call.New(s), 0) {
@@ -132,7 +137,7 @@
 	a.over = true
 	w := l.w
 	l.from.picker.Done(w.time(), mustardmast.Result{Member: a.member.ID, Service: l.service, Latency: w.now - a.sent, Kind: r.kind,
-		Load: r.load, HasLoad: r.load.Limit > 0})
+		Load: r.load, HasLoad: r.load.Limit > 0, Long: l.req.long, HedgeUnused: a.reserved})
 	if w.variant == fullControl {
 		l.from.table.Learn(w.time(), a.exec.call, r.level)
 	}
@@ -194,7 +199,8 @@
 			continue
 		}
 		a.over = true
-		l.from.picker.Done(l.w.time(), mustardmast.Result{Member: a.member.ID, Service: l.service, Latency: l.w.now - a.sent, Kind: fault.Canceled})
+		l.from.picker.Done(l.w.time(), mustardmast.Result{Member: a.member.ID, Service: l.service, Latency: l.w.now - a.sent,
+			Kind: fault.Canceled, Long: l.req.long, HedgeUnused: a.reserved})
 		e := a.exec
 		l.w.after(hop, func() { e.t.cancel(e) })
 	}
--- a/internal/measure/picker.go
+++ b/internal/measure/picker.go
@@ -1,10 +1,12 @@
 package measure
 
 import (
+	"os"
 	"math/rand/v2"
 	"time"
 
 	"mustardmast"
+	"mustardmast/core/balance"
 	"mustardmast/core/call"
 	"mustardmast/core/fault"
 )
@@ -50,6 +52,9 @@
 	if v != fullControl {
 		return &roundRobin{next: map[string]int{}}
 	}
+	if os.Getenv("BAL") != "" {
+		return balance.New(balance.Own{ID: mustardmast.NodeID(seed), FailureDomain: ""}, seed, balance.Defaults())
+	}
 	return &twoChoices{rand: rand.New(rand.NewPCG(seed, 3)), members: map[mustardmast.NodeID]*seen{}, tails: map[string]*tail{}}
 }
 
--- a/io/caller/server.go
+++ b/io/caller/server.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"slices"
 	"strconv"
+	"time"
 
 	"mustardmast"
 	"mustardmast/core/call"
@@ -108,8 +109,9 @@
 	}
 	ctx, cancel := context.WithDeadline(q.Context(), r.Call.Deadline())
 	defer cancel()
+	parent.started(s.clock.Now())
 	a, err := s.dispatch.Dispatch(ctx, r)
-	parent.ended(a)
+	parent.ended(s.clock.Now(), a)
 	if a.HasLevel {
 		w.Header().Set(header.AdmissionLevel, strconv.Itoa(int(a.Level)))
 	}
@@ -243,10 +245,17 @@
 	grant  *retry.Grant
 }
 
-func (n *nested) ended(a execute.Answer) {
+func (n *nested) started(now time.Time) {
+	if n != nil {
+		n.parent.SubCallStarted(now)
+	}
+}
+
+func (n *nested) ended(now time.Time, a execute.Answer) {
 	if n == nil {
 		return
 	}
+	n.parent.SubCallEnded(now)
 	n.grant.Return(a.Retries)
 }
 
--- a/io/dispatch/repeat.go
+++ b/io/dispatch/repeat.go
@@ -63,6 +63,9 @@
 
 // again decides on one more send and waits for its time.
 func (d *Dispatcher) again(ctx context.Context, c call.Call, b *retry.Budget, err error, n int) bool {
+	if fault.KindOf(err) == fault.Shed && c.Cohort() >= int(d.p.Levels.Level(d.p.Clock.Now(), c.Service(), c.Method(), c.Priority(), c.Backer())) {
+		return false // the other targets would shed it too
+	}
 	dec := d.p.Policy.Decide(d.p.Clock.Now(), c, b, err, n)
 	if dec.Action == retry.GiveUp {
 		return false
--- a/io/execute/executor.go
+++ b/io/execute/executor.go
@@ -21,6 +21,9 @@
 	"mustardmast/io/target"
 )
 
+// shedRetryAfter is told to callers whose calls the services below would shed. Levels recover over a second or so.
+const shedRetryAfter = 500 * time.Millisecond
+
 // Hop is what the sender says beside the call itself.
 type Hop struct {
 	Addressed mustardmast.NodeID // the incarnation that the sender means
@@ -110,6 +113,10 @@
 	if _, err := x.ready(now, r.Call); err != nil {
 		return none, x.attempts.refuse(now, r.Call, h, err)
 	}
+	if !x.p.Below.Admit(now, x.p.Levels, r.Call) {
+		err := fault.New(fault.Shed, "the services below shed calls of this priority and backer").WithRetryAfter(shedRetryAfter)
+		return none, x.attempts.refuse(now, r.Call, h, err)
+	}
 	ticket := x.tickets.Add(1)
 	if err := x.slot(ctx, now, ticket, r.Call, h); err != nil {
 		return none, x.attempts.refuse(x.p.Clock.Now(), r.Call, h, err)
@@ -159,7 +166,7 @@
 	select {
 	case v := <-granted:
 		if v.Action == mustardmast.Run {
-			x.release(ticket, 0, fault.Canceled)
+			x.release(mustardmast.Completion{Ticket: ticket, Kind: fault.Canceled})
 		}
 	default:
 	}
@@ -213,9 +220,9 @@
 	return call.New(s)
 }
 
-func (x *Executor) release(ticket uint64, latency time.Duration, k fault.Kind) {
+func (x *Executor) release(c mustardmast.Completion) {
 	now := x.p.Clock.Now()
-	x.deliver(now, x.p.Admitter.Done(now, mustardmast.Completion{Ticket: ticket, Latency: latency, Kind: k}))
+	x.deliver(now, x.p.Admitter.Done(now, c))
 }
 
 // deliver passes verdicts on. A slot granted to a call that has gone goes to the next one.
--- a/io/execute/run.go
+++ b/io/execute/run.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"mustardmast"
 	"mustardmast/core/fault"
 	"mustardmast/io/message"
 )
@@ -59,5 +60,5 @@
 	if !u.start.IsZero() {
 		latency = now.Sub(u.start)
 	}
-	x.release(u.ticket, latency, fault.KindOf(err))
+	x.release(mustardmast.Completion{Ticket: u.ticket, Latency: latency, Below: u.e.waited(now), Kind: fault.KindOf(err)})
 }
--- a/io/execute/running.go
+++ b/io/execute/running.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"time"
 
 	"mustardmast/core/call"
 	"mustardmast/core/quarantine"
@@ -96,6 +97,11 @@
 	fingerprint quarantine.Fingerprint
 	withheld    uint32 // calls held back above that this call stands for
 	budget      *retry.Budget
+
+	mu    sync.Mutex
+	below int           // sub-calls under way
+	since time.Time     // when the first of them began
+	spent time.Duration // time with at least one sub-call under way
 }
 
 func newExecution(c call.Call, f quarantine.Fingerprint, withheld uint32) *Execution {
@@ -116,3 +122,33 @@
 
 // Withheld returns how many calls, held back by senders above, this call stands for beside itself.
 func (e *Execution) Withheld() uint32 { return e.withheld }
+
+// SubCallStarted and SubCallEnded bound the time in which the target waits for its own sub-calls. That time says nothing
+// about the target's capacity.
+func (e *Execution) SubCallStarted(now time.Time) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.below == 0 {
+		e.since = now
+	}
+	e.below++
+}
+
+// SubCallEnded ends a sub-call.
+func (e *Execution) SubCallEnded(now time.Time) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.below--; e.below == 0 {
+		e.spent += now.Sub(e.since)
+	}
+}
+
+// waited returns the time spent in sub-calls.
+func (e *Execution) waited(now time.Time) time.Duration {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.below > 0 {
+		return e.spent + now.Sub(e.since)
+	}
+	return e.spent
+}
