--- a/cmd/capacity/events.go
+++ b/cmd/capacity/events.go
@@ -14,6 +14,9 @@
 		w := newWorld(o.seed, n)
 		w.run(3 * time.Second)
 		out = measure(w)
+		for i := range out {
+			out[i].budget += fmt.Sprintf(" (%d nodes)", n)
+		}
 	}
 	return out
 }
@@ -42,8 +45,8 @@
 }
 
 // domain measures a lost failure domain that comes back, and partition one of regions that heals.
-func domain(o options) []line    { return eachSize(o, (*world).domainLoss) }
-func partition(o options) []line { return eachSize(o, (*world).regionPartition) }
+func domain(o options) []line    { return eachSize(o.upTo(o.mass), (*world).domainLoss) }
+func partition(o options) []line { return eachSize(o.upTo(o.mass), (*world).regionPartition) }
 
 func (w *world) drainTime() time.Duration {
 	n := w.Nodes[len(w.Nodes)/2]
--- a/cmd/capacity/main.go
+++ b/cmd/capacity/main.go
@@ -43,9 +43,22 @@
 
 type options struct {
 	sizes []int
+	mass  int // largest size for mass events
 	seed  uint64
 }
 
+// upTo leaves out sizes above a limit.
+func (o options) upTo(limit int) options {
+	var kept []int
+	for _, n := range o.sizes {
+		if n <= limit {
+			kept = append(kept, n)
+		}
+	}
+	o.sizes = kept
+	return o
+}
+
 const memoryLimit = 11 << 30
 
 // target is the largest size that is measured.
@@ -66,9 +79,10 @@
 	sizes := flag.String("sizes", "50,200,800,3800", "numbers of nodes, rising")
 	only := flag.String("only", "", "roles to measure, separated by commas; all if empty")
 	seed := flag.Uint64("seed", 1, "seed of everything random")
+	mass := flag.Int("mass", 800, "largest size for the loss of a domain and for partitions; 3800 takes over ten minutes")
 	flag.Parse()
 	debug.SetMemoryLimit(memoryLimit) // the views of 3,800 nodes take about half of it
-	o := options{seed: *seed}
+	o := options{seed: *seed, mass: *mass}
 	for _, s := range strings.Split(*sizes, ",") {
 		n, err := strconv.Atoi(s)
 		if err != nil {
