node, io/telemetry: metrics of the data path, and pages checked against the code

Cause: a node had no figure for calls by outcome, their latency, retries, hedges, silent connections or refusals of quarantined content, and no page listed its metrics. Ruled out: counting in the default set of the metrics library, which is global; its summaries and vmrange histograms, which Prometheus cannot combine over nodes. Change: mustardmast.Meter in the root package; io/telemetry counts in a set that the daemon passes in, None counts nothing. The caller server, dispatcher, executor and connection watcher report to it. docs/metrics.md lists every metric; tests in docs compare it, the settings table and the links between pages with the code.

--- a/daemon/providers.go
+++ b/daemon/providers.go
@@ -26,6 +26,7 @@
 	"mustardmast/io/platform"
 	"mustardmast/io/settings"
 	"mustardmast/io/store"
+	"mustardmast/io/telemetry"
 	"mustardmast/io/tick"
 	"mustardmast/node"
 )
@@ -145,11 +146,11 @@
 
 func newNode(
 	s settings.Settings, self mustardmast.Member, i identity, t *tick.Service, c *control.Control, configs *node.Configs,
-	r *register.Register, q *quarantine.Quarantine, l *eventlog.Log,
+	r *register.Register, q *quarantine.Quarantine, l *eventlog.Log, meter *telemetry.Calls,
 ) *node.Node {
 	n := node.New(node.Parts{
 		Self: self, Timers: t, Members: c.Members(), Configs: &gate{configs: configs, control: c, clock: t}, Register: r,
-		Quarantine: q, Teller: teller{control: c}, Asker: asker{control: c}, Log: l, Key: i.key, Seed: i.seed, LocalIP: s.LocalIP(),
+		Quarantine: q, Teller: teller{control: c}, Asker: asker{control: c}, Log: l, Meter: meter, Key: i.key, Seed: i.seed, LocalIP: s.LocalIP(),
 	})
 	configs.Watch(n.SetConfig)
 	return n
--- a/daemon/wire.go
+++ b/daemon/wire.go
@@ -10,6 +10,7 @@
 	"mustardmast/io/eventlog"
 	"mustardmast/io/platform"
 	"mustardmast/io/settings"
+	"mustardmast/io/telemetry"
 	"mustardmast/io/tick"
 	"mustardmast/node"
 )
@@ -17,7 +18,7 @@
 // Build puts a daemon together from its settings.
 func Build(s settings.Settings) (*Daemon, error) {
 	wire.Build(
-		newIdentity, newMember, newLogger, eventlog.New, tick.New, metrics.NewSet, newPlatform,
+		newIdentity, newMember, newLogger, eventlog.New, tick.New, metrics.NewSet, newPlatform, telemetry.New,
 		wire.Bind(new(mustardmast.Platform), new(*platform.Client)),
 		newRegister, newQuarantine, wire.Struct(new(node.Configs)), wire.Struct(new(alarms)), newControl,
 		newNode, newPorts, newAdmin, New,
--- a/daemon/wire_gen.go
+++ b/daemon/wire_gen.go
@@ -10,6 +10,7 @@
 	"github.com/VictoriaMetrics/metrics"
 	"mustardmast/io/eventlog"
 	"mustardmast/io/settings"
+	"mustardmast/io/telemetry"
 	"mustardmast/io/tick"
 	"mustardmast/node"
 )
@@ -42,7 +43,8 @@
 	if err != nil {
 		return nil, err
 	}
-	nodeNode := newNode(s, member, daemonIdentity, service, control, configs, register, quarantine, log)
+	calls := telemetry.New(set)
+	nodeNode := newNode(s, member, daemonIdentity, service, control, configs, register, quarantine, log, calls)
 	daemonPorts := newPorts(member, service, control, configs, nodeNode, quarantine, daemonAlarms, log)
 	handler := newAdmin(daemonPorts, set)
 	daemon := New(s, service, control, nodeNode, quarantine, handler, log)
--- /dev/null
+++ b/docs/pages_test.go
@@ -0,0 +1,144 @@
+// Package docs_test checks that the pages agree with the code and with each other.
+package docs_test
+
+import (
+	"io/fs"
+	"os"
+	"path/filepath"
+	"regexp"
+	"sort"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"mustardmast/io/settings"
+)
+
+func read(t *testing.T, path string) string {
+	t.Helper()
+	b, err := os.ReadFile(path)
+	assert.NilError(t, err)
+	return string(b)
+}
+
+// files returns the files with the ending below root, without directories of tools.
+func files(t *testing.T, root, ending string) []string {
+	t.Helper()
+	var out []string
+	assert.NilError(t, filepath.WalkDir(root, func(path string, d fs.DirEntry, err error) error {
+		if err == nil && d.IsDir() && len(d.Name()) > 2 && strings.HasPrefix(d.Name(), ".") {
+			return filepath.SkipDir
+		}
+		if strings.HasSuffix(path, ending) {
+			out = append(out, path)
+		}
+		return err
+	}))
+	assert.Assert(t, len(out) > 0, "no %s below %s", ending, root)
+	return out
+}
+
+var (
+	jsonKey = regexp.MustCompile("`json:\"([a-z-]+)\"`")
+	pageKey = regexp.MustCompile("(?m)^\\| `([a-z-]+)` \\| [^|]+ \\| [^|]+ \\| [^|]* \\| [^|]+ \\|$")
+)
+
+// Guards against a process setting that no page explains, and against one that the page invents.
+func TestOperationsListsEverySetting(t *testing.T) {
+	page := read(t, "operations.md")
+	_, table, ok := strings.Cut(page, "\n## Process settings\n")
+	assert.Assert(t, ok, "operations.md has no section for the process settings")
+	table, _, _ = strings.Cut(table, "\n## ")
+	assert.DeepEqual(t, names(pageKey, table), names(jsonKey, read(t, "../io/settings/settings.go")))
+	assert.Assert(t, strings.Contains(table, "| `drain-timeout` | duration | `"+settings.DefaultDrainTimeout.String()+"` |"))
+}
+
+func names(r *regexp.Regexp, text string) []string {
+	var out []string
+	for _, m := range r.FindAllStringSubmatch(text, -1) {
+		out = append(out, m[1])
+	}
+	sort.Strings(out)
+	return out
+}
+
+var (
+	registered = regexp.MustCompile(`(?:New|GetOrCreate)(Gauge|Counter|PrometheusHistogramExt)\((?:fmt\.Sprintf\()?"(mustardmast_[a-z_]+)((?:\{[^}]*\})?)"`)
+	anyMetric  = regexp.MustCompile(`"mustardmast_`)
+	pageMetric = regexp.MustCompile("(?m)^\\| `(mustardmast_[a-z_]+)((?:\\{[^}]*\\})?)` \\| (gauge|counter|histogram) \\| [^|]+ \\| [^|]+ \\|$")
+	labelValue = regexp.MustCompile(`=%q`)
+)
+
+// Guards against a metric that the page does not explain, a type or label that differs, and a metric that is gone.
+func TestMetricsPageAgreesWithTheCode(t *testing.T) {
+	types := map[string]string{"Gauge": "gauge", "Counter": "counter", "PrometheusHistogramExt": "histogram"}
+	code, page := map[string]string{}, map[string]string{}
+	for _, path := range files(t, "..", ".go") {
+		if strings.HasSuffix(path, "_test.go") {
+			continue
+		}
+		text := read(t, path)
+		found := registered.FindAllStringSubmatch(text, -1)
+		assert.Equal(t, len(found), len(anyMetric.FindAllString(text, -1)), "%s names a metric in a way that this test cannot read", path)
+		for _, m := range found {
+			code[m[2]+labelValue.ReplaceAllString(m[3], "")] = types[m[1]]
+		}
+	}
+	for _, m := range pageMetric.FindAllStringSubmatch(read(t, "metrics.md"), -1) {
+		_, twice := page[m[1]+m[2]]
+		assert.Assert(t, !twice, "metrics.md lists %s twice", m[1])
+		page[m[1]+m[2]] = m[3]
+	}
+	assert.DeepEqual(t, page, code)
+}
+
+// Guards against a page that tells operators to look at a metric, an event or an error kind that does not exist.
+func TestOperationsNamesWhatExists(t *testing.T) {
+	text, metrics, events, errors := read(t, "operations.md"), read(t, "metrics.md"), read(t, "events.md"), read(t, "errors.md")
+	for _, m := range regexp.MustCompile("mustardmast_[a-z_]+").FindAllString(text, -1) {
+		assert.Check(t, strings.Contains(metrics, "`"+m+"`") || strings.Contains(metrics, "`"+m+"{"), "metric %s", m)
+	}
+	for _, e := range regexp.MustCompile("MM[0-9]+").FindAllString(text, -1) {
+		assert.Check(t, strings.Contains(events, "| "+e+" |"), "event %s", e)
+	}
+	for _, m := range regexp.MustCompile("`([a-z-]+)` \\(`(?:unknown|not-executed|executed)`\\)").FindAllStringSubmatch(text, -1) {
+		assert.Check(t, strings.Contains(errors, "| "+m[1]+" |"), "error kind %s", m[1])
+	}
+}
+
+var (
+	link    = regexp.MustCompile(`\]\(([^)\s]+)\)`)
+	heading = regexp.MustCompile(`(?m)^#+ (.+)$`)
+	noWord  = regexp.MustCompile(`[^a-z0-9 _-]`)
+)
+
+// Guards against a link between pages that leads nowhere.
+func TestLinksLeadToFiles(t *testing.T) {
+	for _, page := range files(t, "..", ".md") {
+		for _, m := range link.FindAllStringSubmatch(read(t, page), -1) {
+			file, anchor, _ := strings.Cut(m[1], "#")
+			if strings.Contains(file, "://") {
+				continue
+			}
+			to := page
+			if file != "" {
+				to = filepath.Join(filepath.Dir(page), file)
+			}
+			if _, err := os.Stat(to); err != nil {
+				t.Errorf("%s: link to %s: %v", page, m[1], err)
+				continue
+			}
+			assert.Check(t, anchor == "" || anchors(read(t, to))[anchor], "%s: %s has no heading for #%s", page, to, anchor)
+		}
+	}
+}
+
+// anchors returns the names by which the headings of a page are linked.
+func anchors(text string) map[string]bool {
+	out := map[string]bool{}
+	for _, m := range heading.FindAllStringSubmatch(text, -1) {
+		out[strings.ReplaceAll(noWord.ReplaceAllString(strings.ToLower(m[1]), ""), " ", "-")] = true
+	}
+	return out
+}
--- a/io/caller/server.go
+++ b/io/caller/server.go
@@ -49,13 +49,19 @@
 	dispatch Dispatcher
 	running  *execute.Running
 	below    *level.Below
+	meter    mustardmast.Meter
 	leaving  func() error
 }
 
-// New returns a server. Below learns which sub-calls the target makes. Leaving returns the error with which a stopping node refuses calls that enter the system, and
-// nil before that.
-func New(clock mustardmast.Clock, configs Configs, ids IDs, dispatch Dispatcher, running *execute.Running, below *level.Below, leaving func() error) *Server {
-	return &Server{clock: clock, configs: configs, ids: ids, dispatch: dispatch, running: running, below: below, leaving: leaving}
+// New returns a server. Below learns which sub-calls the target makes. Leaving returns the error with which a stopping
+// node refuses calls that enter the system, and nil before that.
+func New(
+	clock mustardmast.Clock, configs Configs, ids IDs, dispatch Dispatcher, running *execute.Running, below *level.Below,
+	meter mustardmast.Meter, leaving func() error,
+) *Server {
+	return &Server{
+		clock: clock, configs: configs, ids: ids, dispatch: dispatch, running: running, below: below, meter: meter, leaving: leaving,
+	}
 }
 
 // Mount adds the server's paths to m.
@@ -102,9 +108,13 @@
 func (s *Server) call(w http.ResponseWriter, q *http.Request) {
 	r, parent, err := s.read(q)
 	if err != nil {
-		header.WriteError(w, q.Header.Get(header.RequestID), weaken(q, err))
+		err = weaken(q, err)
+		s.count(err)
+		header.WriteError(w, q.Header.Get(header.RequestID), err)
 		return
 	}
+	start := s.clock.Now()
+	defer func() { s.meter.Entered(s.clock.Now().Sub(start)) }()
 	ctx, cancel := context.WithDeadline(q.Context(), r.Call.Deadline())
 	defer cancel()
 	a, err := s.dispatch.Dispatch(ctx, r)
@@ -114,10 +124,25 @@
 	}
 	w.Header().Set(header.RetryBudget, strconv.Itoa(a.Retries))
 	if err != nil {
+		s.count(err)
 		header.WriteError(w, r.Call.ID(), err)
 		return
 	}
-	message.Write(w, r.Call.ID(), a.Response)
+	s.write(w, r.Call.ID(), a.Response)
+}
+
+// write writes a target's answer. message.Write panics when the answer breaks off, and its caller then knows no more
+// than that.
+func (s *Server) write(w http.ResponseWriter, id string, r *message.Response) {
+	kind, outcome := fault.AnswerCut, fault.AnswerCut.Answer().Outcome
+	defer func() { s.meter.Call(kind, outcome) }()
+	message.Write(w, id, r)
+	kind, outcome = fault.None, fault.Executed
+}
+
+func (s *Server) count(err error) {
+	e := fault.From(err)
+	s.meter.Call(e.Kind(), e.Outcome())
 }
 
 // weaken returns err with the outcome unknown for a resend. It is refused before the record of its request was asked,
--- a/io/dispatch/dispatch.go
+++ b/io/dispatch/dispatch.go
@@ -59,6 +59,7 @@
 	Local      Local
 	Outcomes   Outcomes
 	Trace      *trace.Trace
+	Meter      mustardmast.Meter
 }
 
 // New returns a dispatcher.
--- a/io/dispatch/hedge.go
+++ b/io/dispatch/hedge.go
@@ -47,6 +47,7 @@
 	}
 	*h.tried = append(*h.tried, second.ID)
 	h.twice.Store(true)
+	h.d.p.Meter.Hedged()
 	h.start(ctx, 1, second, sendOptions{})
 	s := <-h.done
 	if s.err != nil {
--- a/io/dispatch/repeat.go
+++ b/io/dispatch/repeat.go
@@ -50,8 +50,16 @@
 	return withheld, nil
 }
 
-// again decides on one more send and waits for its time.
+// again decides on one more send, waits for its time and counts it.
 func (d *Dispatcher) again(ctx context.Context, c call.Call, b *retry.Budget, err error, n int) bool {
+	if !d.mayRepeat(ctx, c, b, err, n) {
+		return false
+	}
+	d.p.Meter.Retried()
+	return true
+}
+
+func (d *Dispatcher) mayRepeat(ctx context.Context, c call.Call, b *retry.Budget, err error, n int) bool {
 	dec := d.p.Policy.Decide(d.p.Clock.Now(), c, b, err, n)
 	if dec.Action == retry.GiveUp {
 		return false
@@ -118,6 +126,9 @@
 		return nil, false, nil
 	}
 	m, only, err := d.p.Quarantine.Check(now, f, members)
+	if fault.KindOf(err) == fault.Quarantined {
+		d.p.Meter.QuarantineRefused()
+	}
 	if err != nil || !only {
 		return nil, only, err
 	}
--- a/io/execute/executor.go
+++ b/io/execute/executor.go
@@ -66,6 +66,7 @@
 	Teller     Teller
 	Levels     *level.Table
 	Below      *level.Below
+	Meter      mustardmast.Meter
 	Crashed    func(service string, inFlight int) // hears of each crash of the target
 }
 
--- a/io/execute/run.go
+++ b/io/execute/run.go
@@ -26,6 +26,9 @@
 func (u *run) quarantine(ctx context.Context) error {
 	x := u.x
 	alone, err := x.p.Quarantine.Admit(x.p.Clock.Now(), u.e.fingerprint, x.p.Members.Serving(u.r.Call.Service()))
+	if fault.KindOf(err) == fault.Quarantined {
+		x.p.Meter.QuarantineRefused()
+	}
 	if err != nil {
 		return err
 	}
--- a/io/outbound/conns.go
+++ b/io/outbound/conns.go
@@ -34,15 +34,16 @@
 	numbers  atomic.Uint64
 	tickets  atomic.Uint64
 	ping     *http.Client
+	closed   func()
 
 	mu   sync.Mutex
 	open map[silent.Conn]*watched
 }
 
 // NewConns returns a watcher without connections. Connections are opened from the local address, so that a peer sees
-// the address that this node is known by.
-func NewConns(clock mustardmast.Clock, local net.IP) *Conns {
-	c := &Conns{clock: clock, detector: silent.New(silent.Defaults()), open: map[silent.Conn]*watched{}}
+// the address that this node is known by. Closed hears of each connection that is closed for its silence.
+func NewConns(clock mustardmast.Clock, local net.IP, closed func()) *Conns {
+	c := &Conns{clock: clock, closed: closed, detector: silent.New(silent.Defaults()), open: map[silent.Conn]*watched{}}
 	c.dialer.Timeout = dialTimeout
 	if local != nil {
 		c.dialer.LocalAddr = &net.TCPAddr{IP: local}
@@ -77,6 +78,7 @@
 		case !ok:
 		case v.State == silent.Dead:
 			_ = w.Close()
+			c.closed()
 		case v.State == silent.Suspect && c.detector.MayOpen(now, v.Conn.Peer):
 			go c.compare(w.address)
 		}
--- a/io/peer/client.go
+++ b/io/peer/client.go
@@ -30,8 +30,9 @@
 
 // NewClient returns a client. It speaks HTTP/1.1 over kept-alive connections: HTTP/2 streams took 1.7 to 3.8 times as long
 // per call under parallel load, see docs/decisions/node-transport.md.
-func NewClient(clock mustardmast.Clock, local net.IP) *Client {
-	conns := outbound.NewConns(clock, local)
+// Closed hears of each connection that is closed for its silence.
+func NewClient(clock mustardmast.Clock, local net.IP, closed func()) *Client {
+	conns := outbound.NewConns(clock, local, closed)
 	var p http.Protocols
 	p.SetHTTP1(true)
 	t := &http.Transport{
--- a/node/bench_test.go
+++ b/node/bench_test.go
@@ -6,14 +6,17 @@
 	"strings"
 	"testing"
 
+	"github.com/VictoriaMetrics/metrics"
 	"gotest.tools/v3/assert"
 
 	"mustardmast/io/target/stub"
+	"mustardmast/io/telemetry"
 )
 
 // BenchmarkCall compares a call straight to a target with the same call through two nodes, in one process.
 func BenchmarkCall(b *testing.B) {
 	l := newCluster(b, koper())
+	l.meter = telemetry.New(metrics.NewSet())
 	first := l.add("socket-board", "koper-a", stub.Spec{})
 	last := l.add("reefer-watch", "koper-a", stub.Spec{})
 	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}}
--- a/node/cluster_test.go
+++ b/node/cluster_test.go
@@ -36,6 +36,7 @@
 	mu     sync.Mutex
 	hosts  []*host
 	config config.Config
+	meter  mustardmast.Meter // nil counts nothing
 }
 
 type host struct {
@@ -72,7 +73,7 @@
 	h.quarantine = quarantine.New(h.member.ID)
 	h.node = node.New(node.Parts{
 		Self: h.member, Timers: l.timers, Members: l, Configs: l, Log: eventlog.New(zap.NewNop()), Seed: 1,
-		Quarantine: h.quarantine, Teller: l,
+		Quarantine: h.quarantine, Teller: l, Meter: l.meter,
 		Register: register.New(h.member.ID, time.Now(), requestid.DefaultWindow, register.DefaultLimits),
 	})
 	h.node.Start(callers, peers)
--- a/node/node.go
+++ b/node/node.go
@@ -36,6 +36,7 @@
 	"mustardmast/io/outbound"
 	"mustardmast/io/peer"
 	"mustardmast/io/target"
+	"mustardmast/io/telemetry"
 )
 
 const (
@@ -57,9 +58,10 @@
 	Teller     execute.Teller         // tells other nodes of a crash
 	Asker      dispatch.Outcomes      // asks other nodes what became of an attempt
 	Log        *eventlog.Log
-	Key        requestid.Key // secret of this process, random
-	LocalIP    net.IP        // from which connections to other nodes are opened; nil for any
-	Seed       uint64        // of the random choices
+	Meter      mustardmast.Meter // nil counts nothing
+	Key        requestid.Key     // secret of this process, random
+	LocalIP    net.IP            // from which connections to other nodes are opened; nil for any
+	Seed       uint64            // of the random choices
 }
 
 // Node is the data path of one node.
@@ -87,8 +89,11 @@
 // New returns a node that does not listen yet.
 func New(p Parts) *Node {
 	now := p.Timers.Now()
+	if p.Meter == nil {
+		p.Meter = telemetry.None{}
+	}
 	n := &Node{
-		parts: p, local: &target.Local{}, running: execute.NewRunning(), trace: trace.New(), levels: level.New(level.Spec{}), targets: target.NewClient(), peers: peer.NewClient(p.Timers, p.LocalIP),
+		parts: p, local: &target.Local{}, running: execute.NewRunning(), trace: trace.New(), levels: level.New(level.Spec{}), targets: target.NewClient(), peers: peer.NewClient(p.Timers, p.LocalIP, p.Meter.SilentClosed),
 		admit:     admit.New(admit.Spec{Slots: initialSlots}),
 		register:  p.Register,
 		callerMux: http.NewServeMux(), peerMux: http.NewServeMux(),
@@ -98,7 +103,7 @@
 	below := level.NewBelow()
 	n.executor = execute.New(execute.Parts{
 		Self: p.Self, Clock: p.Timers, Members: p.Members, Admitter: n.admit, Local: n.local, Sender: n.targets,
-		Running: n.running, Register: n.register, Quarantine: p.Quarantine, Teller: p.Teller, Levels: n.levels, Below: below,
+		Running: n.running, Register: n.register, Quarantine: p.Quarantine, Teller: p.Teller, Levels: n.levels, Below: below, Meter: p.Meter,
 		Crashed: func(service string, inFlight int) {
 			p.Log.Write(eventlog.TargetCrashed, zap.String("service", service), zap.Int("in-flight", inFlight))
 		},
@@ -109,8 +114,9 @@
 		Policy: retry.NewPolicy(retry.NewRatio(retry.DefaultRatio()), retry.NewBackoff(p.Seed+1, retry.DefaultBase, retry.DefaultMost)),
 		Levels: n.levels, Quarantine: p.Quarantine, Trace: n.trace, Issuer: issuer, Ledger: n.ledger, Peers: n.peers, Local: n.executor,
 		Outcomes: outcomes{self: p.Self.ID, clock: p.Timers, register: n.register, remote: p.Asker},
+		Meter:    p.Meter,
 	})
-	caller.New(p.Timers, p.Configs, ids{issuer: issuer, clock: p.Timers}, n.dispatcher, n.running, below, n.refusal).Mount(n.callerMux)
+	caller.New(p.Timers, p.Configs, ids{issuer: issuer, clock: p.Timers}, n.dispatcher, n.running, below, p.Meter, n.refusal).Mount(n.callerMux)
 	peer.NewServer(p.Timers, n.executor, n.dispatcher).Mount(n.peerMux)
 	n.local.Watch(n.targetChanged)
 	return n
