--- a/docs/pages_test.go
+++ b/docs/pages_test.go
@@ -13,6 +13,7 @@
 	"gotest.tools/v3/assert"
 
 	"mustardmast/io/settings"
+	"mustardmast/io/text"
 )
 
 func read(t *testing.T, path string) string {
@@ -142,3 +143,17 @@
 	}
 	return out
 }
+
+// Guards against an example that the programs refuse.
+func TestExamplesAreValid(t *testing.T) {
+	_, err := settings.Load("../examples/host-1.json")
+	assert.NilError(t, err)
+	for _, name := range []string{"koper.json", "araba.json"} {
+		c, faults := text.Decode([]byte(read(t, "../examples/"+name)))
+		assert.Equal(t, len(faults), 0, "%s: %v", name, faults)
+		assert.Assert(t, len(c.Services()) > 0, name)
+	}
+	found, err := filepath.Glob("../examples/*")
+	assert.NilError(t, err)
+	assert.Equal(t, len(found), 3, "an example is not checked: %v", found)
+}
