--- a/internal/measure/picker.go
+++ b/internal/measure/picker.go
@@ -1,8 +1,8 @@
 package measure
 
 import (
-	"os"
 	"math/rand/v2"
+	"os"
 	"time"
 
 	"mustardmast"
--- a/io/control/configure.go
+++ b/io/control/configure.go
@@ -209,11 +209,14 @@
 // offerObject offers the platform's configuration object. It returns its generation, or 0.
 func (c *Control) offerObject(o mustardmast.Object, err error) uint64 {
 	if err != nil || o.Version == 0 {
-		if err != nil && c.ctx.Err() == nil && fault.KindOf(err) != fault.NotFound {
+		if err != nil && c.ctx.Err() == nil && fault.KindOf(err) != fault.NotFound && !c.platformDown.Swap(true) {
 			c.s.Log.Write(eventlog.PlatformDown, zap.Error(err))
 		}
 		return 0
 	}
+	if c.platformDown.Swap(false) {
+		c.s.Log.Write(eventlog.PlatformUp)
+	}
 	generation, changeID, text, err := c.s.Decode(o.Value)
 	if err != nil {
 		c.s.Log.Write(eventlog.ConfigObjectUnreadable, zap.Uint64("version", o.Version), zap.Error(err))
--- a/io/control/control.go
+++ b/io/control/control.go
@@ -69,15 +69,16 @@
 
 // Control is the control plane of one node.
 type Control struct {
-	s       Settings
-	members *member.Members
-	bucket  *member.Bucket
-	rollout *rollout.Rollout
-	spread  *spread.Spread
-	history *spread.History
-	meter   Meter
-	client  *client
-	conn    *net.UDPConn
+	platformDown atomic.Bool // whether the last answer was none, so that the log tells changes only
+	s            Settings
+	members      *member.Members
+	bucket       *member.Bucket
+	rollout      *rollout.Rollout
+	spread       *spread.Spread
+	history      *spread.History
+	meter        Meter
+	client       *client
+	conn         *net.UDPConn
 
 	ctx     context.Context
 	stop    context.CancelFunc
--- a/io/dispatch/hedge.go
+++ b/io/dispatch/hedge.go
@@ -48,6 +48,7 @@
 	}
 	h.tries.add(second.ID)
 	h.twice.Store(true)
+	h.d.p.Meter.Hedged()
 	h.start(ctx, 1, second, sendOptions{repeats: h.tries.repeats()})
 	s := <-h.done
 	if s.err != nil {
--- a/io/dispatch/repeat.go
+++ b/io/dispatch/repeat.go
@@ -61,8 +61,16 @@
 	return withheld, nil
 }
 
-// again decides on one more send and waits for its time.
+// again decides on one more send, waits for its time and counts it.
 func (d *Dispatcher) again(ctx context.Context, c call.Call, b *retry.Budget, err error, n int) bool {
+	if !d.mayRepeat(ctx, c, b, err, n) {
+		return false
+	}
+	d.p.Meter.Retried()
+	return true
+}
+
+func (d *Dispatcher) mayRepeat(ctx context.Context, c call.Call, b *retry.Budget, err error, n int) bool {
 	if fault.KindOf(err) == fault.Shed && c.Cohort() >= int(d.p.Levels.Level(d.p.Clock.Now(), c.Service(), c.Method(), c.Priority(), c.Backer())) {
 		return false // the other targets would shed it too
 	}
@@ -147,6 +155,9 @@
 		return nil, false, nil
 	}
 	m, only, err := d.p.Quarantine.Check(now, f, members)
+	if fault.KindOf(err) == fault.Quarantined {
+		d.p.Meter.QuarantineRefused()
+	}
 	if err != nil || !only {
 		return nil, only, err
 	}
--- a/io/eventlog/eventlog.go
+++ b/io/eventlog/eventlog.go
@@ -39,6 +39,7 @@
 	QuarantineCleared      Event = 501
 	HandlerPanicked        Event = 502
 	PlatformDown           Event = 600
+	PlatformUp             Event = 601
 	SeedsUnreadable        Event = 602
 	SeedsNotWritten        Event = 603
 )
@@ -74,6 +75,7 @@
 	QuarantineCleared:      {zapcore.InfoLevel, "quarantine-cleared", "an operator cleared a fingerprint"},
 	HandlerPanicked:        {zapcore.ErrorLevel, "handler-panicked", "a fault of the node itself; the call was answered as internal"},
 	PlatformDown:           {zapcore.WarnLevel, "platform-down", "the platform does not answer; the configuration in force stays"},
+	PlatformUp:             {zapcore.InfoLevel, "platform-up", "the platform answers again"},
 	SeedsUnreadable:        {zapcore.WarnLevel, "seeds-unreadable", "the object with first peers cannot be read; it is written anew"},
 	SeedsNotWritten:        {zapcore.DebugLevel, "seeds-not-written", "the object with first peers was not written; the next refresh tries again"},
 }
--- a/io/execute/executor.go
+++ b/io/execute/executor.go
@@ -69,6 +69,7 @@
 	Teller     Teller
 	Levels     *level.Table
 	Below      *level.Below
+	Meter      mustardmast.Meter
 	Crashed    func(service string, inFlight []*Execution) // hears of each crash of the target
 }
 
