io/control: watchers of the platform ask again within 3 s after an outage

Cause: a watcher of an unavailable platform doubled its backoff up to 30 s, with jitter 45 s. A change accepted right after a long outage was then in force nowhere for longer than the 8 s of the guarantee. Change: the backoff of watchers ends at 2 s (3 s with jitter). Two per failure domain keep the calls few; nodes that start keep the longer backoff.

--- a/io/control/configure.go
+++ b/io/control/configure.go
@@ -18,9 +18,13 @@
 )
 
 const (
-	firstBackoff  = time.Second
-	lastBackoff   = 30 * time.Second
-	conflictEvery = time.Minute
+	firstBackoff = time.Second
+	lastBackoff  = 30 * time.Second
+	// lastWatchBackoff bounds the time between watches of an unavailable platform. A change that is accepted right after
+	// an outage must be in force within 8 s, and nobody but the watchers learns of it first; 30 s and its jitter let
+	// 45 s pass. Two watchers per failure domain keep the calls few.
+	lastWatchBackoff = 2 * time.Second
+	conflictEvery    = time.Minute
 )
 
 // heardGeneration takes in the generation that a datagram carries.
@@ -247,7 +251,7 @@
 		if !c.sleep(backoff) {
 			return
 		}
-		backoff = min(2*backoff, lastBackoff)
+		backoff = min(2*backoff, lastWatchBackoff)
 	}
 }
 
