io/execute: count a crash of a target that was restarted within the second

Cause: broken connections within 1 s of a crash were taken as part of it, so a target that its supervisor restarts within some tens of milliseconds crashed again uncounted. With two targets, restarted at once, one request that was resent under new ids crashed targets 28 times in 9 s where at most 4 are allowed. Change: a call that was sent after the last crash, to a target that has announced itself since, tells a new crash. A connection that breaks while the process lives no longer hides a crash in the second after it.

--- a/io/execute/crash.go
+++ b/io/execute/crash.go
@@ -15,7 +15,9 @@
 const (
 	crashDial = 200 * time.Millisecond // a live target on the same host accepts at once
 	crashTell = 300 * time.Millisecond // bound on telling the other nodes before the callers are answered
-	crashGap  = time.Second            // broken connections within this time belong to one crash
+	// Broken connections within this time belong to one crash, unless the target has announced itself in between: it
+	// may be restarted, and crash again, within some tens of milliseconds.
+	crashGap = time.Second
 )
 
 // Teller tells the other nodes of a service the evidence of a crash.
@@ -43,15 +45,25 @@
 	done chan struct{}
 }
 
+// attempt is one call that was given to the target.
+type attempt struct {
+	target target.Announcement
+	heard  time.Time // last announcement of the target
+	start  time.Time
+}
+
+// again reports whether the call ran at a target that was alive after the crash.
+func (l *crash) again(a attempt) bool { return a.heard.After(l.at) && a.start.After(l.at) }
+
 // failed is called for a call whose connection to the target broke, while the call is still in the table of running
 // calls.
-func (c *crashes) failed(now time.Time, a target.Announcement, err error) {
+func (c *crashes) failed(now time.Time, call attempt, err error) {
 	if fault.KindOf(err) != fault.TargetFailed {
 		return
 	}
+	a := call.target
 	c.mu.Lock()
-	if c.last != nil && now.Sub(c.last.at) < crashGap {
-		l := c.last
+	if l := c.last; l != nil && now.Sub(l.at) < crashGap && !l.again(call) {
 		c.mu.Unlock()
 		select {
 		case <-l.done:
@@ -67,6 +79,7 @@
 	defer close(l.done)
 	inFlight := c.running.fingerprints()
 	if accepts(a) {
+		c.forget(l)
 		return // one connection broke; the process lives
 	}
 	c.quarantine.Crashed(now, c.id, number, inFlight)
@@ -76,6 +89,15 @@
 	c.teller.Tell(ctx, a.Service, c.quarantine.About(now, inFlight))
 }
 
+// forget lets the next broken connection be looked at again, since this one was no crash.
+func (c *crashes) forget(l *crash) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.last == l {
+		c.last = nil
+	}
+}
+
 // accepts reports whether the target still takes connections.
 func accepts(a target.Announcement) bool {
 	conn, err := net.DialTimeout("tcp", a.Address.String(), crashDial)
--- a/io/execute/executor.go
+++ b/io/execute/executor.go
@@ -198,10 +198,11 @@
 	if err := x.attempts.start(now, r.Call, h); err != nil {
 		return nil, err
 	}
+	try := attempt{target: a, heard: x.p.Local.Heard(), start: now}
 	res, err := x.p.Sender.Send(ctx, a, now, r, seenByTarget(r.Call))
 	if err != nil {
 		x.attempts.end(x.p.Clock.Now(), r.Call, h, err)
-		x.crashes.failed(x.p.Clock.Now(), a, err)
+		x.crashes.failed(x.p.Clock.Now(), try, err)
 	}
 	return res, err
 }
--- a/io/target/local.go
+++ b/io/target/local.go
@@ -95,6 +95,13 @@
 	return l.last, l.refusal(now)
 }
 
+// Heard returns when the target last announced itself.
+func (l *Local) Heard() time.Time {
+	l.mu.RLock()
+	defer l.mu.RUnlock()
+	return l.at
+}
+
 func (l *Local) refusal(now time.Time) error {
 	switch {
 	case l.leaving:
