io/execute: a target that is ending does not pass for a live one

Cause: after a broken connection the node dials the target to tell a crash from a single broken connection. A process that is ending can still accept: its listener closes a moment after its connections. The crash went uncounted. Change: the new connection must be held for 30 ms.

--- a/io/execute/crash.go
+++ b/io/execute/crash.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"sync"
 	"time"
@@ -14,6 +15,9 @@
 
 const (
 	crashDial = 200 * time.Millisecond // a live target on the same host accepts at once
+	// A process that is ending can still have its listener open when its other connections are gone. It does not hold a
+	// new connection for this long.
+	crashHold = 30 * time.Millisecond
 	crashTell = 300 * time.Millisecond // bound on telling the other nodes before the callers are answered
 	// Broken connections within this time belong to one crash, unless the target has announced itself in between: it
 	// may be restarted, and crash again, within some tens of milliseconds.
@@ -98,12 +102,17 @@
 	}
 }
 
-// accepts reports whether the target still takes connections.
+// accepts reports whether the target still takes connections and holds them.
 func accepts(a target.Announcement) bool {
 	conn, err := net.DialTimeout("tcp", a.Address.String(), crashDial)
 	if err != nil {
 		return false
 	}
-	_ = conn.Close()
-	return true
+	defer func() { _ = conn.Close() }()
+	if conn.SetReadDeadline(time.Now().Add(crashHold)) != nil {
+		return false
+	}
+	_, err = conn.Read(make([]byte, 1))
+	var wait net.Error
+	return err == nil || errors.As(err, &wait) && wait.Timeout()
 }
