--- a/internal/deploy/faults_test.go
+++ b/internal/deploy/faults_test.go
@@ -59,11 +59,13 @@
 	ids     map[string]bool // request ids whose sends are in the history; probes of the test are not
 	direct  bool            // the naive variant: callers send straight to the targets
 	kill    map[*deploy.Host]func()
+	stubs   map[*deploy.Host]*stub.Target
+	counts  map[*deploy.Host]int // executions by target
 }
 
 func newWorld(t *testing.T) *world {
 	w := &world{t: t, history: &history.Requests{}, runs: map[string]int{}, told: map[string]int{}, ids: map[string]bool{}}
-	w.kill = map[*deploy.Host]func(){}
+	w.kill, w.stubs, w.counts = map[*deploy.Host]func(){}, map[*deploy.Host]*stub.Target{}, map[*deploy.Host]int{}
 	w.dir = t.TempDir()
 	w.net = newNetwork(t, map[string]string{"127.0.1.1": "koper-a", "127.0.2.1": "koper-b"})
 	d, err := deploy.Start(deploy.Spec{
@@ -97,6 +99,7 @@
 		Executing: func(id, answer string) func() {
 			w.mu.Lock()
 			w.runs[h.Service+" "+id]++
+			w.counts[h]++
 			recorded := w.ids[id]
 			w.mu.Unlock()
 			if !recorded || h.Service != deploy.Services[0] {
@@ -114,6 +117,7 @@
 	ctx, cancel := context.WithCancel(w.t.Context())
 	go x.Run(ctx)
 	w.t.Cleanup(server.Close)
+	w.stubs[h] = x
 	w.kill[h] = func() {
 		cancel()
 		_ = server.Listener.Close()
--- a/internal/deploy/relay_test.go
+++ b/internal/deploy/relay_test.go
@@ -18,6 +18,7 @@
 	domains map[string]string // by IP
 	mu      sync.Mutex
 	cut     map[[2]string]bool
+	muted   bool // no datagrams pass between domains
 	conns   map[net.Conn][2]string
 }
 
@@ -37,17 +38,28 @@
 	}
 }
 
+// Mute stops all datagrams between domains, while connections work.
+func (n *network) Mute() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.muted = true
+}
+
 // Heal ends all cuts.
 func (n *network) Heal() {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	clear(n.cut)
+	n.muted = false
 }
 
 // open reports whether traffic passes. A cut in either direction stops TCP.
 func (n *network) open(from, to string, both bool) bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	if n.muted && !both && from != to {
+		return false
+	}
 	return !n.cut[[2]string{from, to}] && (!both || !n.cut[[2]string{to, from}])
 }
 
