--- a/internal/deploy/process.go
+++ b/internal/deploy/process.go
@@ -3,12 +3,15 @@
 import (
 	"bufio"
 	"io"
+	"math/rand/v2"
 	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -119,24 +122,34 @@
 	}
 }
 
-// freePorts returns n ports that were free on ip a moment ago.
+// Ports are taken from below the range from which the system takes the ports of connections and of listeners that ask
+// for any. A port of that range can be gone before the node listens on it.
+const (
+	firstPort = 12_000
+	lastPort  = 32_000
+)
+
+var nextPort atomic.Int64
+
+func init() { nextPort.Store(rand.Int64N(lastPort - firstPort)) } // other test processes take ports too
+
+// freePorts returns n addresses on ip whose ports were free a moment ago. No port is returned twice in a while.
 func freePorts(ip string, n int) ([]string, error) {
-	var ls []net.Listener
-	defer func() {
-		for _, l := range ls {
-			_ = l.Close()
-		}
-	}()
-	addrs := make([]string, n)
-	for i := range addrs {
-		l, err := net.Listen("tcp", ip+":0")
+	var addrs []string
+	for range lastPort - firstPort {
+		a := net.JoinHostPort(ip, strconv.FormatInt(firstPort+nextPort.Add(1)%(lastPort-firstPort), 10))
+		l, err := net.Listen("tcp", a)
 		if err != nil {
+			continue
+		}
+		if err := l.Close(); err != nil {
 			return nil, errors.Wrap(err, "free port")
 		}
-		ls = append(ls, l)
-		addrs[i] = l.Addr().String()
+		if addrs = append(addrs, a); len(addrs) == n {
+			return addrs, nil
+		}
 	}
-	return addrs, nil
+	return nil, errors.Errorf("no %d free ports on %s", n, ip)
 }
 
 func lastWord(s string) string {
