node: retry percentage and slots of the configuration take effect; a planned stop waits for calls only

Now: both settings are taken with each configuration; a stop counts requests and gives idle connections 0.5 s; a drain ends when the target was gone for 3 s.

--- a/core/retry/ratio.go
+++ b/core/retry/ratio.go
@@ -1,7 +1,9 @@
 package retry
 
 import (
+	"math"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -29,6 +31,7 @@
 // The number of edges is bounded. At the bound the edge that was idle for longest is forgotten; if it comes back it
 // starts like a new one, with a single unit.
 type Ratio struct {
+	percent  atomic.Uint64 // bits of a float64
 	settings RatioSettings
 	shards   [ratioShards]ratioShard
 }
@@ -46,19 +49,23 @@
 // NewRatio returns a Ratio with these limits.
 func NewRatio(s RatioSettings) *Ratio {
 	r := &Ratio{settings: s}
+	r.SetPercent(s.Percent)
 	for i := range r.shards {
 		r.shards[i].edges = map[string]*edge{}
 	}
 	return r
 }
 
+// SetPercent takes the percentage of a new configuration. What edges have saved up stays.
+func (r *Ratio) SetPercent(p float64) { r.percent.Store(math.Float64bits(p)) }
+
 // Succeeded counts a successful first attempt on an edge.
 func (r *Ratio) Succeeded(now time.Time, name string) {
 	s := r.shard(name)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	e := r.edge(s, now, name)
-	e.units = min(e.units+r.settings.Percent/100, r.settings.Burst)
+	e.units = min(e.units+math.Float64frombits(r.percent.Load())/100, r.settings.Burst)
 }
 
 // Take spends one retry on an edge, and reports false if none is left.
--- a/daemon/admin.go
+++ b/daemon/admin.go
@@ -12,6 +12,7 @@
 
 	"mustardmast"
 	"mustardmast/core/call"
+	"mustardmast/core/config"
 	"mustardmast/core/fault"
 	"mustardmast/core/quarantine"
 	"mustardmast/core/rollout"
@@ -83,7 +84,7 @@
 		s.Services = append(s.Services, v)
 	}
 	for prio := range call.Priority(call.Priorities) {
-		for _, b := range c.Backers() {
+		for _, b := range append(c.Backers(), config.Backer{Name: otherBackers}) {
 			if l := p.node.LevelFor(now, prio, b.Name); l < mustardmast.FullLevel {
 				s.Levels = append(s.Levels, operator.LevelStatus{Priority: prio.String(), Backer: b.Name, Level: l})
 			}
@@ -99,6 +100,10 @@
 	return s
 }
 
+// otherBackers stands in status reports for all backers without an entry in the configuration. It is no valid name of a
+// backer, so it has the level of those.
+const otherBackers = "(others)"
+
 // Drain implements operator.Drainer.
 func (p *ports) Drain(context.Context) error {
 	p.node.Local().Drain(p.timers.Now())
--- a/daemon/providers.go
+++ b/daemon/providers.go
@@ -66,6 +66,8 @@
 		return nil, errors.Wrap(err, "log level")
 	}
 	c.Level = level
+	c.DisableStacktrace = true
+	c.DisableCaller = true
 	c.Sampling = nil // events are few, and each one counts
 	c.EncoderConfig.EncodeTime = zapTime
 	z, err := c.Build()
--- a/io/control/outage_test.go
+++ b/io/control/outage_test.go
@@ -12,6 +12,7 @@
 
 	"mustardmast"
 	"mustardmast/core/fault"
+	"mustardmast/io/eventlog"
 )
 
 // outage is a platform that is down until a time, and then tells who asks first.
@@ -37,7 +38,7 @@
 		synctest.Test(t, func(t *testing.T) {
 			ctx, cancel := context.WithCancel(t.Context())
 			o := outage{end: time.Now().Add(10 * time.Minute), asked: make(chan time.Time, 1)}
-			c := &Control{s: Settings{Platform: o, Timers: wallTimers{}, Log: zap.NewNop()}, rng: rand.New(rand.NewPCG(seed, 0)), ctx: ctx}
+			c := &Control{s: Settings{Platform: o, Timers: wallTimers{}, Log: eventlog.New(zap.NewNop())}, rng: rand.New(rand.NewPCG(seed, 0)), ctx: ctx}
 			c.goRun(func() { c.watchPlatform(ctx) })
 			late := (<-o.asked).Sub(o.end)
 			assert.Assert(t, late <= 4*time.Second, "seed %d: first watch %s after the outage", seed, late)
--- a/io/target/local.go
+++ b/io/target/local.go
@@ -57,8 +57,8 @@
 // Announce takes an announcement or heartbeat.
 func (l *Local) Announce(now time.Time, a Announcement) {
 	l.change(now, func() {
-		if a.Address != l.last.Address || a.Service != l.last.Service {
-			l.drain = false // another process; the drain was meant for the earlier one
+		if a.Address != l.last.Address || a.Service != l.last.Service || now.Sub(l.at) > SilenceLimit {
+			l.drain = false // another process, or one that was gone; the drain was meant for the earlier one
 		}
 		l.last, l.at = a, now
 	})
@@ -92,6 +92,13 @@
 	}
 }
 
+// Announced returns the newest announcement, whether or not it is still in force.
+func (l *Local) Announced() Announcement {
+	l.mu.RLock()
+	defer l.mu.RUnlock()
+	return l.last
+}
+
 // Ready returns the announcement, or the error with which work is refused.
 func (l *Local) Ready(now time.Time) (Announcement, error) {
 	l.mu.RLock()
--- a/io/target/local_test.go
+++ b/io/target/local_test.go
@@ -50,6 +50,10 @@
 	l.Announce(start, announcement("reefer-watch"))
 	_, err := l.Ready(start)
 	assert.Equal(t, fault.KindOf(err), fault.Draining)
+	l.Announce(start.Add(time.Minute), announcement("reefer-watch")) // the same address after a time without heartbeats
+	_, err = l.Ready(start.Add(time.Minute))
+	assert.NilError(t, err)
+	l.Drain(start)
 	next := announcement("reefer-watch")
 	next.Address = netip.MustParseAddrPort("127.0.0.1:81")
 	l.Announce(start, next)
--- a/node/adapters.go
+++ b/node/adapters.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"runtime/debug"
+	"sync/atomic"
 
 	"go.uber.org/zap"
 
@@ -73,3 +74,12 @@
 	}()
 	next(w, q)
 }
+
+// counter counts the requests that are being served.
+type counter struct{ active *atomic.Int64 }
+
+func (c *counter) ServeHTTP(w http.ResponseWriter, q *http.Request, next http.HandlerFunc) {
+	c.active.Add(1)
+	defer c.active.Add(-1)
+	next(w, q)
+}
--- a/node/node.go
+++ b/node/node.go
@@ -11,6 +11,7 @@
 	"net/http"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -46,6 +47,7 @@
 	initialSlots  = 1 // until the target announces its slots
 	headerTimeout = 10 * time.Second
 	drainPoll     = 20 * time.Millisecond
+	idleConnWait  = 500 * time.Millisecond
 )
 
 // LedgerLimits keep the ledger under 10 MB when it is full. At the target size a node issues some 60 ids a second;
@@ -84,12 +86,14 @@
 	running    *execute.Running
 	trace      *trace.Trace
 	levels     *level.Table
+	ratio      *retry.Ratio
 	targets    *target.Client
 	peers      *peer.Client
 	callerMux  *http.ServeMux
 	peerMux    *http.ServeMux
 	servers    []*http.Server
 	cancels    []func()
+	active     atomic.Int64 // requests of callers and other nodes that are being served
 	mu         sync.Mutex
 	leaving    bool
 }
@@ -101,7 +105,7 @@
 		p.Meter = telemetry.None{}
 	}
 	n := &Node{
-		parts: p, local: &target.Local{}, running: execute.NewRunning(), trace: trace.New(), levels: level.New(level.Spec{}), targets: target.NewClient(), peers: peer.NewClient(p.Timers, p.LocalIP, p.Meter.SilentClosed),
+		parts: p, local: &target.Local{}, running: execute.NewRunning(), trace: trace.New(), ratio: retry.NewRatio(retry.DefaultRatio()), levels: level.New(level.Spec{}), targets: target.NewClient(), peers: peer.NewClient(p.Timers, p.LocalIP, p.Meter.SilentClosed),
 		admit:     admit.New(admit.Spec{Slots: initialSlots}),
 		register:  p.Register,
 		callerMux: http.NewServeMux(), peerMux: http.NewServeMux(),
@@ -117,7 +121,7 @@
 	n.dispatcher = dispatch.New(dispatch.Parts{
 		Self: p.Self, Clock: p.Timers, Members: p.Members,
 		Picker: balance.New(balance.Own{ID: p.Self.ID, FailureDomain: p.Self.FailureDomain}, p.Seed, balance.Defaults()),
-		Policy: retry.NewPolicy(retry.NewRatio(retry.DefaultRatio()), retry.NewBackoff(p.Seed+1, retry.DefaultBase, retry.DefaultMost)),
+		Policy: retry.NewPolicy(n.ratio, retry.NewBackoff(p.Seed+1, retry.DefaultBase, retry.DefaultMost)),
 		Levels: n.levels, Quarantine: p.Quarantine, Trace: n.trace, Issuer: issuer, Ledger: n.ledger, Peers: n.peers, Local: n.executor,
 		Outcomes: outcomes{self: p.Self.ID, clock: p.Timers, register: n.register, remote: p.Asker},
 		Meter:    p.Meter,
@@ -132,6 +136,8 @@
 func (n *Node) SetConfig(c config.Config) {
 	n.admit.SetBackers(n.parts.Timers.Now(), c.Backers())
 	n.levels.SetBackers(c.Backers())
+	n.ratio.SetPercent(float64(c.Limits().RetryPercent))
+	n.setSlots()
 }
 
 // Local returns the target of this host, for announcements.
@@ -163,7 +169,7 @@
 	var p http.Protocols
 	p.SetHTTP1(true)
 	p.SetUnencryptedHTTP2(true)
-	chain := negroni.New(&recovery{log: n.parts.Log})
+	chain := negroni.New(&recovery{log: n.parts.Log}, &counter{active: &n.active})
 	chain.UseHandler(h)
 	s := &http.Server{
 		Handler: chain, Protocols: &p, ReadHeaderTimeout: headerTimeout,
@@ -198,18 +204,23 @@
 // Stop ends a planned stop. It waits for calls in flight until ctx ends and returns an error if some were cut off.
 func (n *Node) Stop(ctx context.Context) error {
 	n.Leave()
-	for n.executor.InFlight() > 0 && ctx.Err() == nil {
+	for n.active.Load() > 0 && ctx.Err() == nil {
 		time.Sleep(drainPoll)
 	}
-	var first error
+	left := n.active.Load()
+	// Nothing is left to wait for but connections without a call, which Shutdown gives up to 5 s.
+	short, cancel := context.WithTimeout(ctx, idleConnWait)
+	defer cancel()
 	for _, s := range n.servers {
-		if err := s.Shutdown(ctx); err != nil && first == nil {
-			first = errors.Wrap(err, "calls were still in flight")
+		if s.Shutdown(short) != nil {
 			_ = s.Close()
 		}
 	}
 	n.close()
-	return first
+	if left > 0 {
+		return errors.Errorf("%d calls were still in flight", left)
+	}
+	return nil
 }
 
 // Kill ends the node at once, as a crash of the process would.
@@ -229,10 +240,21 @@
 }
 
 // targetChanged takes the slots that the target announces.
-func (n *Node) targetChanged(a target.Announcement, _ error) {
-	if a.Slots > 0 {
-		n.admit.SetSlots(a.Slots)
+func (n *Node) targetChanged(target.Announcement, error) { n.setSlots() }
+
+// setSlots bounds the concurrency limit by what the target announces and by what the configuration allows its service.
+func (n *Node) setSlots() {
+	a := n.local.Announced()
+	if a.Slots <= 0 {
+		return
+	}
+	slots := a.Slots
+	if c, _, ok := n.parts.Configs.Current(); ok {
+		if sv, known := c.Service(a.Service); known && sv.Slots > 0 {
+			slots = min(slots, sv.Slots)
+		}
 	}
+	n.admit.SetSlots(slots)
 }
 
 // Load returns the figures of the admission.
