--- a/internal/measure/world.go
+++ b/internal/measure/world.go
@@ -51,15 +51,13 @@
 
 // edge is the retry and hedge budget from one node to one service.
 type edge struct {
-	tokens, hedges float64
-	at             time.Duration
+	tokens float64
+	at     time.Duration
 }
 
 const (
 	retryRatio = 0.1
-	hedgeRatio = 0.03
 	edgeBurst  = 10
-	hedgeBurst = 100 // stalls come in bursts
 )
 
 func (n *node) edge(service string) *edge {
@@ -74,7 +72,6 @@
 func (n *node) succeeded(service string) {
 	e := n.edge(service)
 	e.tokens = min(e.tokens+retryRatio, edgeBurst)
-	e.hedges = min(e.hedges+hedgeRatio, hedgeBurst)
 }
 
 func (n *node) retry(service string, now time.Duration) bool {
@@ -88,15 +85,6 @@
 	return true
 }
 
-func (n *node) hedge(service string) bool {
-	e := n.edge(service)
-	if e.hedges < 1 {
-		return false
-	}
-	e.hedges--
-	return true
-}
-
 func newWorld(d deployment, v variant, seed uint64, newPicker func(v variant, seed uint64) mustardmast.Picker) *world {
 	w := &world{
 		variant: v,
