--- a/core/balance/settings.go
+++ b/core/balance/settings.go
@@ -39,7 +39,7 @@
 	EjectMost    time.Duration // this; default 8 s
 	ProbeEvery   time.Duration // time between probes of an ejected member; default 100 ms, doubles up to
 	ProbeMost    time.Duration // this while probes are slow; default 1 s
-	ProbeShare   float64       // most probes per call; default 0.005
+	ProbeShare   float64       // most probes per call; default 0.001: a chain of three hops with 0.005 would put more than 1% of its requests on slow members
 
 	HedgeShare float64 // most second sends per call; default 0.03
 	HedgeSaved float64 // most second sends saved up; default 128
@@ -73,7 +73,7 @@
 		EjectMost:    8 * time.Second,
 		ProbeEvery:   100 * time.Millisecond,
 		ProbeMost:    time.Second,
-		ProbeShare:   0.005,
+		ProbeShare:   0.001,
 
 		HedgeShare: 0.03,
 		HedgeSaved: 128,
