core/balance: a member counts as silent after 1 s

Cause: in chains, a call that waits for its own sub-calls looks silent; passing over its member loads the others until they refuse.

--- a/core/balance/settings.go
+++ b/core/balance/settings.go
@@ -32,7 +32,7 @@
 	SpillMargin float64       // how much dearer the own domain may be before calls leave it; default 1.25
 	SlowStart   time.Duration // time over which a new member reaches its full share; default 10 s
 
-	SilenceFloor time.Duration // shortest silence that counts; default 5 ms, above scheduler and collector pauses
+	SilenceFloor time.Duration // shortest silence that counts; default 1 s: below that, calls that wait for their own sub-calls look silent, and passing over their members overloads the rest
 	Outlier      float64       // multiple of the median latency that ejects; default 3
 	Failures     int           // broken connections in a row that eject; default 3
 	EjectFirst   time.Duration // first ejection after refused or broken connections; default 500 ms, doubles up to
@@ -66,7 +66,7 @@
 		SpillMargin: 1.25,
 		SlowStart:   10 * time.Second,
 
-		SilenceFloor: 5 * time.Millisecond,
+		SilenceFloor: 1000 * time.Millisecond,
 		Outlier:      3,
 		Failures:     3,
 		EjectFirst:   500 * time.Millisecond,
