--- a/Makefile
+++ b/Makefile
@@ -28,6 +28,12 @@
 lint:
 	PATH="$$(.ci/tools):$$PATH" golangci-lint run ./...
 
+# Runs the properties that take seeds with new ones for SECONDS each, and the tests with real processes once more.
+SECONDS ?= 60
+soak:
+	MUSTARDMAST_SOAK_SECONDS=$(SECONDS) $(GO) test -count=1 -timeout 60m ./core/ledger ./core/quarantine
+	$(GO) test -count=1 -timeout 20m ./internal/deploy
+
 capacity:
 	$(GO) run ./cmd/capacity
 
