--- a/cmd/overhead/main.go
+++ b/cmd/overhead/main.go
@@ -16,6 +16,7 @@
 	"github.com/jessevdk/go-flags"
 
 	"mustardmast/internal/deploy"
+	"mustardmast/io/header"
 )
 
 type options struct {
@@ -78,6 +79,9 @@
 			fmt.Printf("%-5d %-10s %-6d %-7d %-9s %-9s %-10s %s\n", rate, v.name, len(sum[i].took), sum[i].failed,
 				round(sum[i].at(0.5)), round(sum[i].at(0.99)), round(sum[i].at(0.5)-sum[0].at(0.5)),
 				round(sum[i].at(0.99)-sum[0].at(0.99)))
+			if sum[i].failed > 0 {
+				fmt.Println("      failures:", sum[i].kinds)
+			}
 		}
 	}
 	return nil
@@ -89,11 +93,18 @@
 type series struct {
 	took   []time.Duration
 	failed int
+	kinds  map[string]int // failures by error kind
 }
 
 func (s *series) join(o series) {
 	s.took = append(s.took, o.took...)
 	s.failed += o.failed
+	for k, n := range o.kinds {
+		if s.kinds == nil {
+			s.kinds = map[string]int{}
+		}
+		s.kinds[k] += n
+	}
 	sort.Slice(s.took, func(i, j int) bool { return s.took[i] < s.took[j] })
 }
 
@@ -113,6 +124,7 @@
 		all sync.WaitGroup
 		out series
 	)
+	out.kinds = map[string]int{}
 	start := time.Now()
 	gap := time.Second / time.Duration(rate)
 	for i := range int(d / gap) {
@@ -121,12 +133,13 @@
 		all.Add(1)
 		go func() {
 			defer all.Done()
-			ok := post(client, url)
+			kind := post(client, url)
 			took := time.Since(due)
 			mu.Lock()
 			defer mu.Unlock()
-			if !ok {
+			if kind != "" {
 				out.failed++
+				out.kinds[kind]++
 			}
 			out.took = append(out.took, took)
 		}()
@@ -135,12 +148,18 @@
 	return out
 }
 
-func post(c *http.Client, url string) bool {
+// post returns the error kind of a failed call, and nothing for one that succeeded.
+func post(c *http.Client, url string) string {
 	res, err := c.Post(url, "text/plain", strings.NewReader("container 7"))
 	if err != nil {
-		return false
+		return "no answer"
 	}
 	defer func() { _ = res.Body.Close() }()
-	_, err = io.Copy(io.Discard, res.Body)
-	return err == nil && res.StatusCode == http.StatusOK
+	if _, err := io.Copy(io.Discard, res.Body); err != nil {
+		return "answer broke off"
+	}
+	if res.StatusCode == http.StatusOK {
+		return ""
+	}
+	return res.Status + " " + res.Header.Get(header.Error)
 }
