--- a/core/requestid/issuer.go
+++ b/core/requestid/issuer.go
@@ -4,7 +4,6 @@
 	"crypto/aes"
 	"crypto/cipher"
 	"encoding/binary"
-	"strconv"
 	"sync/atomic"
 	"time"
 
@@ -28,7 +27,6 @@
 	window time.Duration
 	mac    cipher.Block
 	next   atomic.Uint64
-	fresh  atomic.Uint64
 }
 
 // New returns the issuer of owner. Times passed to its methods are compared with start by their monotonic readings,
@@ -60,12 +58,6 @@
 	return ids
 }
 
-// FreshKey returns a call key that nobody else gives. A node uses it for a non-idempotent sub-call without a key below
-// a non-idempotent parent, which runs at most once itself.
-func (s *Issuer) FreshKey() string {
-	return "@" + strconv.FormatUint(uint64(s.owner), 36) + "." + strconv.FormatUint(s.fresh.Add(1), 36)
-}
-
 // Verify returns an error unless this issuer handed id out and the window is still open. The end of the window is
 // not-started rather than not-executed: an earlier attempt may have run.
 func (s *Issuer) Verify(now time.Time, id ID) error {
