--- a/daemon/daemon_test.go
+++ b/daemon/daemon_test.go
@@ -14,6 +14,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"mustardmast/client"
 	"mustardmast/daemon"
 	"mustardmast/io/platform"
 	pstub "mustardmast/io/platform/stub"
@@ -181,3 +182,30 @@
 	assert.NilError(t, last.stop())
 	assert.Equal(t, <-got, http.StatusOK)
 }
+
+// Guards against a client package that does not understand a real node: a non-idempotent request under an issued id is
+// served once, also when it is sent again under its id by another node.
+func TestClientPackage(t *testing.T) {
+	f := newFleet(t)
+	f.apply(0, example(t))
+	first := f.add("koper-a", "socket-board")
+	second := f.add("koper-b", "plug-ledger")
+	f.await(first, "/socket-board/assign")
+	f.await(second, "/socket-board/assign")
+	c, err := client.New(client.Settings{
+		Addresses: []string{"http://" + first.caller, "http://" + second.caller}, Backer: "adria-line", Seed: 1,
+	})
+	assert.NilError(t, err)
+	before := len(first.target.Executions())
+	res, err := c.Do(context.Background(), client.Request{Service: "socket-board", Method: "assign", Body: []byte("container 7")})
+	assert.NilError(t, err)
+	assert.Equal(t, res.Status, http.StatusOK)
+	again, err := client.New(client.Settings{Addresses: []string{"http://" + second.caller}, Backer: "adria-line", Seed: 2})
+	assert.NilError(t, err)
+	same, err := again.Do(context.Background(), client.Request{
+		Service: "socket-board", Method: "assign", Body: []byte("container 7"), ID: res.ID, Attempts: 1,
+	})
+	assert.NilError(t, err)
+	assert.Equal(t, string(same.Body), string(res.Body))
+	assert.Equal(t, len(first.target.Executions()), before+1)
+}
--- a/io/caller/server.go
+++ b/io/caller/server.go
@@ -8,9 +8,7 @@
 import (
 	"context"
 	"net/http"
-	"slices"
 	"strconv"
-	"time"
 
 	"mustardmast"
 	"mustardmast/core/call"
@@ -18,7 +16,6 @@
 	"mustardmast/core/fault"
 	"mustardmast/core/ledger"
 	"mustardmast/core/level"
-	"mustardmast/core/retry"
 	"mustardmast/io/execute"
 	"mustardmast/io/header"
 	"mustardmast/io/message"
@@ -43,28 +40,25 @@
 	Issued(id string) bool // whether the id has the form of an issued one
 }
 
+// Parts are what a Server works with.
+type Parts struct {
+	Clock    mustardmast.Clock
+	Configs  Configs
+	IDs      IDs
+	Dispatch Dispatcher
+	Running  *execute.Running
+	Below    *level.Below // learns which sub-calls the target makes
+	Meter    mustardmast.Meter
+	Leaving  func() error // the error with which a stopping node refuses calls that enter the system, nil before that
+}
+
 // Server takes calls from callers.
 type Server struct {
-	clock    mustardmast.Clock
-	configs  Configs
-	ids      IDs
-	dispatch Dispatcher
-	running  *execute.Running
-	below    *level.Below
-	meter    mustardmast.Meter
-	leaving  func() error
+	p Parts
 }
 
-// New returns a server. Below learns which sub-calls the target makes. Leaving returns the error with which a stopping
-// node refuses calls that enter the system, and nil before that.
-func New(
-	clock mustardmast.Clock, configs Configs, ids IDs, dispatch Dispatcher, running *execute.Running, below *level.Below,
-	meter mustardmast.Meter, leaving func() error,
-) *Server {
-	return &Server{
-		clock: clock, configs: configs, ids: ids, dispatch: dispatch, running: running, below: below, meter: meter, leaving: leaving,
-	}
-}
+// New returns a server.
+func New(p Parts) *Server { return &Server{p: p} }
 
 // Mount adds the server's paths to m.
 func (s *Server) Mount(m *http.ServeMux) {
@@ -76,11 +70,11 @@
 }
 
 func (s *Server) issue(w http.ResponseWriter, q *http.Request) {
-	if err := s.leaving(); err != nil {
+	if err := s.p.Leaving(); err != nil {
 		header.WriteError(w, "", err)
 		return
 	}
-	if _, _, ok := s.configs.Current(); !ok {
+	if _, _, ok := s.p.Configs.Current(); !ok {
 		header.WriteError(w, "", fault.New(fault.NotReady, "this node has no configuration yet"))
 		return
 	}
@@ -93,7 +87,7 @@
 		}
 	}
 	w.Header().Set("Content-Type", "application/json")
-	_, _ = w.Write(encodeIDs(s.ids.Issue(n)))
+	_, _ = w.Write(encodeIDs(s.p.IDs.Issue(n)))
 }
 
 func encodeIDs(ids []string) []byte {
@@ -115,13 +109,13 @@
 		header.WriteError(w, q.Header.Get(header.RequestID), err)
 		return
 	}
-	start := s.clock.Now()
-	defer func() { s.meter.Entered(s.clock.Now().Sub(start)) }()
+	start := s.p.Clock.Now()
+	defer func() { s.p.Meter.Entered(s.p.Clock.Now().Sub(start)) }()
 	ctx, cancel := context.WithDeadline(q.Context(), r.Call.Deadline())
 	defer cancel()
-	parent.started(s.clock.Now())
-	a, err := s.dispatch.Dispatch(ctx, r)
-	parent.ended(s.clock.Now(), a)
+	parent.started(s.p.Clock.Now())
+	a, err := s.p.Dispatch.Dispatch(ctx, r)
+	parent.ended(s.p.Clock.Now(), a)
 	if a.HasLevel {
 		w.Header().Set(header.AdmissionLevel, strconv.Itoa(int(a.Level)))
 	}
@@ -138,14 +132,14 @@
 // than that.
 func (s *Server) write(w http.ResponseWriter, id string, r *message.Response) {
 	kind, outcome := fault.AnswerCut, fault.AnswerCut.Answer().Outcome
-	defer func() { s.meter.Call(kind, outcome) }()
+	defer func() { s.p.Meter.Call(kind, outcome) }()
 	message.Write(w, id, r)
 	kind, outcome = fault.None, fault.Executed
 }
 
 func (s *Server) count(err error) {
 	e := fault.From(err)
-	s.meter.Call(e.Kind(), e.Outcome())
+	s.p.Meter.Call(e.Kind(), e.Outcome())
 }
 
 // elsewhere weakens the refusal of a resend, whose record was not asked.
@@ -173,7 +167,7 @@
 	}
 	if parent != nil {
 		r.Withheld = parent.parent.Withheld()
-		s.below.Saw(parent.parent.Call().Method(), r.Call)
+		s.p.Below.Saw(parent.parent.Call().Method(), r.Call)
 	}
 	return r, parent, nil
 }
@@ -181,7 +175,7 @@
 // spec fills the parts of the call, from the configuration first, then the headers, then the parent's limits.
 func (s *Server) spec(q *http.Request) (call.Spec, *nested, error) {
 	var spec call.Spec
-	c, _, ok := s.configs.Current()
+	c, _, ok := s.p.Configs.Current()
 	if !ok {
 		return spec, nil, fault.New(fault.NotReady, "this node has no configuration yet")
 	}
@@ -189,7 +183,7 @@
 	if err != nil {
 		return spec, nil, err
 	}
-	now := s.clock.Now()
+	now := s.p.Clock.Now()
 	m, err := find(c, service, method)
 	if err != nil {
 		return spec, nil, err
@@ -226,96 +220,19 @@
 
 // enter completes a call that enters the system.
 func (s *Server) enter(spec *call.Spec) error {
-	if err := s.leaving(); err != nil {
+	if err := s.p.Leaving(); err != nil {
 		return err
 	}
 	spec.Depth, spec.Key = 1, ""
 	switch {
 	case spec.ID == "":
-		spec.ID = s.ids.Issue(1)[0]
-	case !spec.Idempotent && !s.ids.Issued(spec.ID):
+		spec.ID = s.p.IDs.Issue(1)[0]
+	case !spec.Idempotent && !s.p.IDs.Issued(spec.ID):
 		return fault.Newf(fault.RequestIDNotIssued, "request id %q; POST /mustardmast/v1/request-ids?count=1 issues one", spec.ID)
 	}
 	return nil
 }
 
-// nest completes a sub-call, one that the target on this host makes while it runs another call.
-func (s *Server) nest(c config.Config, spec *call.Spec) (*nested, error) {
-	spec.Depth = len(spec.Path) + 1
-	if slices.Contains(spec.Path, spec.Service) {
-		return nil, fault.Newf(fault.LoopDetected, "path %v to %q", spec.Path, spec.Service)
-	}
-	if spec.Depth > c.Limits().MaxDepth {
-		return nil, fault.Newf(fault.DepthExceeded, "hop %d of at most %d", spec.Depth, c.Limits().MaxDepth)
-	}
-	parent, running := s.running.Find(spec.ID)
-	spec.Retries = 0 // a sub-call without a running parent has no budget to draw on
-	if running {
-		inherit(spec, parent.Call())
-	}
-	if err := s.nestID(spec, parent); err != nil {
-		return nil, err
-	}
-	if !running {
-		return nil, nil
-	}
-	g := parent.Grant()
-	spec.Retries = g.Units()
-	return &nested{parent: parent, grant: g}, nil
-}
-
-// nested ties a sub-call to the call that the target runs. Nil is a call without a running parent.
-type nested struct {
-	parent *execute.Execution
-	grant  *retry.Grant
-}
-
-func (n *nested) started(now time.Time) {
-	if n != nil {
-		n.parent.SubCallStarted(now)
-	}
-}
-
-func (n *nested) ended(now time.Time, a execute.Answer) {
-	if n == nil {
-		return
-	}
-	n.parent.SubCallEnded(now)
-	n.grant.Return(a.Retries)
-}
-
-// inherit bounds a sub-call by its parent. Priority and backer are the parent's, so that every hop judges a request
-// alike.
-func inherit(spec *call.Spec, parent call.Call) {
-	if d := parent.Deadline(); !d.IsZero() && d.Before(spec.Deadline) {
-		spec.Deadline = d
-	}
-	spec.Priority, spec.Backer = parent.Priority(), parent.Backer()
-}
-
-// nestID gives a sub-call its id: the parent's with the call key, so that the owner of the root owns it too.
-func (s *Server) nestID(spec *call.Spec, parent *execute.Execution) error {
-	if spec.Key != "" {
-		spec.ID += "/" + spec.Key
-		if len(spec.ID) > call.MaxIDLength {
-			return fault.Newf(fault.BadRequest, "request id of %d bytes with its call keys; allowed: %d", len(spec.ID), call.MaxIDLength)
-		}
-		if !spec.Idempotent && !s.ids.Issued(call.New(*spec).Root()) {
-			return fault.Newf(fault.RequestIDNotIssued, "the root of request id %q was not issued", spec.ID)
-		}
-		return nil
-	}
-	if spec.Idempotent {
-		spec.ID += "/-" // an idempotent sub-call needs no key of its own
-		return nil
-	}
-	if parent == nil || parent.Call().Idempotent() {
-		return fault.Newf(fault.CallKeyMissing, "call of %s/%s below an idempotent call", spec.Service, spec.Method)
-	}
-	spec.ID = s.ids.Issue(1)[0]
-	return nil
-}
-
 // checkMethod refuses non-idempotent calls by HTTP methods that HTTP clients may repeat by themselves.
 func checkMethod(method string, spec call.Spec) error {
 	if spec.Idempotent {
--- a/io/dispatch/own.go
+++ b/io/dispatch/own.go
@@ -5,6 +5,7 @@
 	"context"
 	"io"
 	"net/http"
+	"time"
 
 	"mustardmast"
 	"mustardmast/core/fault"
@@ -31,10 +32,7 @@
 	}
 	// A caller whose connection broke will ask again under the same id. The request runs on to its deadline, so that
 	// the answer is there to be given.
-	ctx, cancel := context.WithCancel(context.WithoutCancel(ctx))
-	if at := c.Deadline(); !at.IsZero() {
-		ctx, cancel = context.WithDeadline(ctx, at)
-	}
+	ctx, cancel := detach(ctx, c.Deadline())
 	o := owned{d: d, ticket: dec.Ticket, cancel: cancel}
 	if dec.Action == ledger.Ask {
 		if err := o.ask(ctx, dec.Attempt); err != nil {
@@ -49,6 +47,15 @@
 	return a, err
 }
 
+// detach returns a context that outlives its parent and ends at the deadline, if there is one.
+func detach(ctx context.Context, deadline time.Time) (context.Context, context.CancelFunc) {
+	ctx = context.WithoutCancel(ctx)
+	if deadline.IsZero() {
+		return context.WithCancel(ctx)
+	}
+	return context.WithDeadline(ctx, deadline)
+}
+
 func replay(a ledger.Answer) *message.Response {
 	h := http.Header{}
 	if a.Type != "" {
--- a/node/node.go
+++ b/node/node.go
@@ -108,31 +108,51 @@
 		p.Meter = telemetry.None{}
 	}
 	n := &Node{
-		parts: p, local: &target.Local{}, running: execute.NewRunning(), trace: trace.New(), ratio: retry.NewRatio(retry.DefaultRatio()), levels: level.New(level.Spec{}), targets: target.NewClient(), peers: peer.NewClient(p.Timers, p.LocalIP, p.Meter.SilentClosed),
+		parts: p, register: p.Register,
+		local:     &target.Local{},
 		admit:     admit.New(admit.Spec{Slots: initialSlots}),
-		register:  p.Register,
+		running:   execute.NewRunning(),
+		trace:     trace.New(),
+		ratio:     retry.NewRatio(retry.DefaultRatio()),
+		levels:    level.New(level.Spec{}),
+		targets:   target.NewClient(),
+		peers:     peer.NewClient(p.Timers, p.LocalIP, p.Meter.SilentClosed),
 		callerMux: http.NewServeMux(), peerMux: http.NewServeMux(),
 	}
 	issuer := requestid.New(p.Self.ID, p.Key, now, requestid.DefaultWindow)
-	n.ledger = ledger.New(issuer, LedgerLimits)
 	below := level.NewBelow()
-	n.executor = execute.New(execute.Parts{
+	n.ledger = ledger.New(issuer, LedgerLimits)
+	n.executor = n.newExecutor(below)
+	n.dispatcher = n.newDispatcher(issuer)
+	caller.New(caller.Parts{
+		Clock: p.Timers, Configs: p.Configs, IDs: ids{issuer: issuer, clock: p.Timers}, Dispatch: n.dispatcher,
+		Running: n.running, Below: below, Meter: p.Meter, Leaving: n.refusal,
+	}).Mount(n.callerMux)
+	peer.NewServer(p.Timers, n.executor, n.dispatcher).Mount(n.peerMux)
+	n.local.Watch(n.targetChanged)
+	return n
+}
+
+func (n *Node) newExecutor(below *level.Below) *execute.Executor {
+	p := n.parts
+	return execute.New(execute.Parts{
 		Self: p.Self, Clock: p.Timers, Members: p.Members, Admitter: n.admit, Local: n.local, Sender: n.targets,
-		Running: n.running, Register: n.register, Quarantine: p.Quarantine, Teller: p.Teller, Levels: n.levels, Below: below,
-		Meter: p.Meter, Crashed: n.targetCrashed,
+		Running: n.running, Register: n.register, Quarantine: p.Quarantine, Teller: p.Teller, Levels: n.levels,
+		Below: below, Meter: p.Meter, Crashed: n.targetCrashed,
 	})
-	n.dispatcher = dispatch.New(dispatch.Parts{
+}
+
+func (n *Node) newDispatcher(issuer *requestid.Issuer) *dispatch.Dispatcher {
+	p := n.parts
+	return dispatch.New(dispatch.Parts{
 		Self: p.Self, Clock: p.Timers, Members: p.Members,
 		Picker: balance.New(balance.Own{ID: p.Self.ID, FailureDomain: p.Self.FailureDomain}, p.Seed, balance.Defaults()),
 		Policy: retry.NewPolicy(n.ratio, retry.NewBackoff(p.Seed+1, retry.DefaultBase, retry.DefaultMost)),
-		Levels: n.levels, Quarantine: p.Quarantine, Trace: n.trace, Issuer: issuer, Ledger: n.ledger, Peers: n.peers, Local: n.executor,
+		Levels: n.levels, Quarantine: p.Quarantine, Trace: n.trace, Issuer: issuer, Ledger: n.ledger, Peers: n.peers,
+		Local:    n.executor,
 		Outcomes: outcomes{self: p.Self.ID, clock: p.Timers, register: n.register, remote: p.Asker},
 		Meter:    p.Meter,
 	})
-	caller.New(p.Timers, p.Configs, ids{issuer: issuer, clock: p.Timers}, n.dispatcher, n.running, below, p.Meter, n.refusal).Mount(n.callerMux)
-	peer.NewServer(p.Timers, n.executor, n.dispatcher).Mount(n.peerMux)
-	n.local.Watch(n.targetChanged)
-	return n
 }
 
 // SetConfig takes what the admission needs of a new configuration.
