core/balance: a member without room is passed over for 10 ms instead of 100

Cause: a short queue drains in milliseconds; passing its member over for longer sent everybody to the others, which refused in turn, important calls too.

--- a/core/balance/member.go
+++ b/core/balance/member.go
@@ -196,6 +196,10 @@
 	m.short++
 }
 
+// fullFor is how long a member without room is passed over. A short queue drains within some milliseconds; with 100 ms the
+// others were overloaded in turn, which cost goodput and refused important calls while less important ones ran.
+const fullFor = 10 * time.Millisecond
+
 // done takes the result of one send.
 func (m *member) done(t time.Duration, s *Settings, r *mustardmast.Result, median float64) {
 	m.ended(r.Long)
@@ -215,7 +219,7 @@
 		m.progress, m.failures = t, 0
 	case noRoom:
 		m.progress, m.failures = t, 0
-		m.full = t + 100*time.Millisecond
+		m.full = t + fullFor
 	case broken:
 		if m.failures++; m.failures >= s.Failures {
 			m.exclude(t, s)
