node: a check that cancellation reaches the target

Nothing guarded it. The caller gives up after 0.2 s, the target would work for a minute and the method's deadline is 2 s; the target stops within 1.5 s.

--- a/io/target/stub/stub.go
+++ b/io/target/stub/stub.go
@@ -251,3 +251,10 @@
 		return false
 	}
 }
+
+// Running returns how many calls the target works on.
+func (t *Target) Running() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.running
+}
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -1,6 +1,8 @@
 package node_test
 
 import (
+	"context"
+	"net/http"
 	"strings"
 	"testing"
 	"time"
@@ -65,3 +67,26 @@
 	assert.Equal(t, len(last.target.Executions()), 1)
 	assert.Equal(t, a.outcome, "unknown", a.in)
 }
+
+// Guards against work that goes on for a caller that has gone: the cancellation of an idempotent call passes both nodes
+// and reaches the target long before its work would end.
+func TestCancellationReachesTheTarget(t *testing.T) {
+	l := newCluster(t, koper())
+	first := l.add("socket-board", "koper-a", stub.Spec{})
+	last := l.add("reefer-watch", "koper-a", stub.Spec{Delay: time.Minute})
+	ctx, cancel := context.WithCancel(context.Background())
+	q, err := http.NewRequestWithContext(ctx, http.MethodPost, first.url+"/reefer-watch/register", strings.NewReader("x"))
+	assert.NilError(t, err)
+	time.AfterFunc(200*time.Millisecond, cancel)
+	res, err := http.DefaultClient.Do(q)
+	if err == nil {
+		res.Body.Close()
+	}
+	assert.ErrorIs(t, err, context.Canceled)
+	assert.Equal(t, len(last.target.Executions()), 1)
+	end := time.Now().Add(1500 * time.Millisecond) // the method's own deadline is 2 s
+	for last.target.Running() > 0 {
+		assert.Assert(t, time.Now().Before(end), "the target still works")
+		time.Sleep(10 * time.Millisecond)
+	}
+}
