io/caller, io/target/stub: call pieces that exist instead of writing them again

Found on the read-through. nestID built sub-call ids itself and, unlike requestid.Sub, let a call key hold a slash, so key a/b was the id of key b below key a; it now calls Sub, and a golden session has the refusal. The bound on issued ids is requestid.MaxRange. The target stand-in announces itself by operator.Client instead of a second wire form. Nothing else changes.

--- a/io/caller/nest.go
+++ b/io/caller/nest.go
@@ -7,6 +7,7 @@
 	"mustardmast/core/call"
 	"mustardmast/core/config"
 	"mustardmast/core/fault"
+	"mustardmast/core/requestid"
 	"mustardmast/core/retry"
 	"mustardmast/io/execute"
 )
@@ -68,10 +69,11 @@
 // nestID gives a sub-call its id: the parent's with the call key, so that the owner of the root owns it too.
 func (s *Server) nestID(spec *call.Spec, parent *execute.Execution) error {
 	if spec.Key != "" {
-		spec.ID += "/" + spec.Key
-		if len(spec.ID) > call.MaxIDLength {
-			return fault.Newf(fault.BadRequest, "request id of %d bytes with its call keys; allowed: %d", len(spec.ID), call.MaxIDLength)
+		id, err := requestid.Sub(spec.ID, spec.Key)
+		if err != nil {
+			return err
 		}
+		spec.ID = id
 		if !spec.Idempotent && !s.p.IDs.Issued(call.New(*spec).Root()) {
 			return fault.Newf(fault.RequestIDNotIssued, "the root of request id %q was not issued", spec.ID)
 		}
--- a/io/caller/server.go
+++ b/io/caller/server.go
@@ -16,14 +16,12 @@
 	"mustardmast/core/fault"
 	"mustardmast/core/ledger"
 	"mustardmast/core/level"
+	"mustardmast/core/requestid"
 	"mustardmast/io/execute"
 	"mustardmast/io/header"
 	"mustardmast/io/message"
 )
 
-// maxIssue bounds how many request ids one request may ask for.
-const maxIssue = 10_000
-
 // Configs gives the configuration in force; the last result is false while there is none.
 type Configs interface {
 	Current() (config.Config, uint64, bool)
@@ -81,8 +79,8 @@
 	n := 1
 	if v := q.URL.Query().Get("count"); v != "" {
 		var err error
-		if n, err = strconv.Atoi(v); err != nil || n < 1 || n > maxIssue {
-			header.WriteError(w, "", fault.Newf(fault.BadRequest, "count is %q; allowed: 1 to %d", v, maxIssue))
+		if n, err = strconv.Atoi(v); err != nil || n < 1 || n > requestid.MaxRange {
+			header.WriteError(w, "", fault.Newf(fault.BadRequest, "count is %q; allowed: 1 to %d", v, requestid.MaxRange))
 			return
 		}
 	}
--- a/io/target/stub/announce.go
+++ b/io/target/stub/announce.go
@@ -1,30 +1,19 @@
 package stub
 
 import (
-	"bytes"
 	"context"
-	"encoding/json"
-	"net/http"
+	"net/netip"
 	"time"
 
 	"github.com/pkg/errors"
-)
 
-// announcement is the wire form of what a target says of itself.
-type announcement struct {
-	Address     string `json:"address"`
-	Service     string `json:"service"`
-	Slots       int    `json:"slots"`
-	Connections int    `json:"connections"`
-	HealthPath  string `json:"health-path"`
-	LoadPath    string `json:"load-path"`
-	State       string `json:"state"`
-}
+	"mustardmast/io/operator"
+)
 
 // Run announces the target to its node until ctx ends. Errors are not reported: the node may not have started yet, and
 // the next heartbeat tries again.
 func (t *Target) Run(ctx context.Context) {
-	tick := time.NewTicker(heartbeat)
+	tick := time.NewTicker(operator.HeartbeatPeriod)
 	defer tick.Stop()
 	for {
 		if !t.current().Silent {
@@ -40,30 +29,32 @@
 
 // Announce sends one announcement.
 func (t *Target) Announce(ctx context.Context) error {
-	a := announcement{
-		Address: t.address(), Service: t.spec.Service, Slots: t.spec.Slots, Connections: t.spec.Slots * 7,
-		HealthPath: "/health", LoadPath: "/load", State: "ready",
-	}
-	if t.current().Draining {
-		a.State = "draining"
-	}
-	b, err := json.Marshal(a)
+	address, err := netip.ParseAddrPort(t.address())
 	if err != nil {
-		return err
+		return errors.Wrap(err, "address of the target")
 	}
-	r, err := http.NewRequestWithContext(ctx, http.MethodPost, t.spec.Admin+"/v1/targets", bytes.NewReader(b))
+	c, err := t.nodeClient()
 	if err != nil {
 		return err
 	}
-	res, err := t.client.Do(r)
-	if err != nil {
-		return err
-	}
-	defer func() { _ = res.Body.Close() }()
-	if res.StatusCode >= http.StatusBadRequest {
-		return errors.Errorf("announce to %s: %s", t.spec.Admin, res.Status)
+	slots := uint32(t.spec.Slots)
+	_, err = c.Announce(ctx, operator.Announcement{
+		Address: address, Service: t.spec.Service, Slots: slots, Connections: slots * 7,
+		HealthPath: "/health", LoadPath: "/load", Draining: t.current().Draining,
+	})
+	return err
+}
+
+// nodeClient returns the one client of the target's node, so that heartbeats share a connection.
+func (t *Target) nodeClient() (*operator.Client, error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.admin != nil {
+		return t.admin, nil
 	}
-	return nil
+	c, err := operator.NewClient(t.spec.Admin, operator.DefaultTimeout)
+	t.admin = c
+	return c, err
 }
 
 // SetAddress sets the address that the target announces, for servers whose address is known late.
--- a/io/target/stub/stub.go
+++ b/io/target/stub/stub.go
@@ -17,11 +17,9 @@
 	"github.com/pkg/errors"
 
 	"mustardmast/io/header"
+	"mustardmast/io/operator"
 )
 
-// heartbeat is the period of announcements.
-const heartbeat = time.Second
-
 // Spec describes a target.
 type Spec struct {
 	Service string
@@ -61,6 +59,7 @@
 	executed map[string]int
 	received map[string]http.Header
 	running  int
+	admin    *operator.Client
 }
 
 // New returns a target; Serve its Handler and call Run for its announcements.
--- a/node/session_test.go
+++ b/node/session_test.go
@@ -119,6 +119,8 @@
 	s.send(first, "POST", "/socket-board/lift", "")
 	s.send(first, "POST", "/socket-board/list", "", "Mustardmast-Path", "plug-ledger,socket-board")
 	s.send(first, "POST", "/socket-board/list", "", "Mustardmast-Path", "a,b,c,d,e,f,g,h")
+	s.send(first, "POST", "/socket-board/list", "", "Mustardmast-Path", "reefer-watch",
+		"Mustardmast-Request-Id", "root", "Mustardmast-Call-Key", "a/b")
 	s.send(first, "POST", "/mustardmast/v1/request-ids?count=0", "")
 	s.check("bad-requests")
 }
