--- a/cmd/mustardmast/main.go
+++ b/cmd/mustardmast/main.go
@@ -15,6 +15,7 @@
 	"mustardmast/io/cli"
 	"mustardmast/io/settings"
 	"mustardmast/io/tick"
+	"mustardmast/sidecar"
 )
 
 // version is set by the build with -ldflags.
@@ -40,6 +41,24 @@
 	return d.Run(ctx)
 }
 
+// sidecarCommand runs a node on the users' platform.
+type sidecarCommand struct {
+	Settings string `long:"settings" env:"MUSTARDMAST_BOOT" required:"true" value-name:"FILE" description:"settings file that the platform writes for this process"`
+}
+
+// Execute implements flags.Commander.
+func (c *sidecarCommand) Execute([]string) error {
+	s, err := sidecar.New(c.Settings)
+	if err != nil {
+		return err
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	reload := make(chan os.Signal, 1)
+	signal.Notify(reload, syscall.SIGHUP)
+	return s.Run(ctx, reload)
+}
+
 // globals are the options without a command.
 type globals struct {
 	Version func() `long:"version" description:"print the version and exit"`
@@ -61,6 +80,11 @@
 	_, err := p.AddCommand("node", "Run a node",
 		"Runs the node of this host until SIGTERM. Then it refuses new calls, finishes those in flight within the drain timeout, and ends.",
 		&nodeCommand{})
+	if err == nil {
+		_, err = p.AddCommand("sidecar", "Run a node on the platform",
+			"Runs the node beside the target of this host until SIGTERM, with the settings file of the platform. SIGHUP reads the file again.",
+			&sidecarCommand{})
+	}
 	if err == nil {
 		err = cli.Add(p, env)
 	}
--- /dev/null
+++ b/core/roster/roster.go
@@ -0,0 +1,364 @@
+// Package roster holds the hosts that a node knows, and chooses the one that a request goes to.
+//
+// Records come from the platform's store, from other nodes and from the hosts themselves. What a host's load is comes
+// with each reply; between two replies a node adds what it has sent itself. A choice is made with news that is
+// milliseconds old, so the node beside the target has the last word, and a request that it turns away is placed again.
+package roster
+
+import (
+	"math/rand/v2"
+	"sort"
+	"sync"
+	"time"
+
+	"mustardmast"
+)
+
+const (
+	// crossDomain is the price of another failure domain against the own one, as a part of the expected duration:
+	// two transits of about a millisecond each, and traffic between domains is billed.
+	crossDomain = 0.25
+	// crossBulky is the same for a request with a large body.
+	crossBulky = 0.6
+	// spread is the random part of a price, so that nodes with the same news do not choose the same target.
+	spread = 0.15
+	// explore is the share of choices at random, so that a target that looked slow is seen again.
+	explore = 0.04
+	// easy is the occupancy up to which a target is as fast as an idle one.
+	easy = 0.6
+	// crowding is the price of a full target against an idle one, in durations.
+	crowding = 2.0
+	// silence is how long a host may leave requests without any reply before it is avoided.
+	silence = 300 * time.Millisecond
+	// silentDurations is the same in durations of a request.
+	silentDurations = 4
+	// avoided multiplies the price of a host that is silent or has left the last connections unanswered.
+	avoided = 12
+	// failureWeight is the weight of one outcome in the share of requests that fail at a host.
+	failureWeight = 0.06
+	// mostFailing bounds the share of failures that a price takes in.
+	mostFailing = 0.9
+	// firstPause and longestPause bound the time between two attempts to reach a host that is down.
+	firstPause   = 200 * time.Millisecond
+	longestPause = 2 * time.Second
+)
+
+// Record is what is known of a host.
+type Record struct {
+	Host, Address, Domain, Service string
+	Started                        int64 // Unix milliseconds of the node's start
+	Sequence                       uint64
+	Ready                          bool // its target takes requests; true until it is known not to
+}
+
+// newer reports whether r replaces o.
+func (r Record) newer(o Record) bool {
+	if r.Started != o.Started {
+		return r.Started > o.Started
+	}
+	return r.Sequence > o.Sequence
+}
+
+type member struct {
+	record      Record
+	report      mustardmast.TargetReport
+	reported    bool
+	outstanding int
+	oldest      time.Time // since when replies are due; zero while none is outstanding
+	failing     float64
+	down        bool
+	pause       time.Duration
+	retryAt     time.Time
+}
+
+// Roster is the hosts that one node knows. Its methods may be called concurrently.
+type Roster struct {
+	self Record
+
+	mu      sync.Mutex
+	members map[string]*member
+	gone    map[string]int64 // start of hosts that have left, by name
+	rand    *rand.Rand
+}
+
+// New returns a roster that knows only its own host.
+func New(self Record, seed uint64) *Roster {
+	r := &Roster{self: self, members: map[string]*member{}, gone: map[string]int64{}, rand: rand.New(rand.NewPCG(seed, seed))}
+	r.members[self.Host] = &member{record: self}
+	return r
+}
+
+// Self returns the record of the own host.
+func (r *Roster) Self() Record {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.members[r.self.Host].record
+}
+
+// Change changes the own record and returns it. It returns false if nothing changed.
+func (r *Roster) Change(service string, ready bool) (Record, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	m := r.members[r.self.Host]
+	if m.record.Service == service && m.record.Ready == ready {
+		return m.record, false
+	}
+	m.record.Service, m.record.Ready = service, ready
+	m.record.Sequence++
+	return m.record, true
+}
+
+// Merge takes a record. Direct is true if it comes from the host itself, whose word always counts. It returns whether
+// the host is new or has changed.
+func (r *Roster) Merge(n Record, direct bool) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if n.Host == r.self.Host {
+		return false
+	}
+	if started, left := r.gone[n.Host]; left && !direct && n.Started <= started {
+		return false
+	}
+	m := r.members[n.Host]
+	if m == nil {
+		r.members[n.Host] = &member{record: n}
+		delete(r.gone, n.Host)
+		return true
+	}
+	if !direct && !n.newer(m.record) {
+		return false
+	}
+	if m.record == n {
+		return false
+	}
+	if n.Address != m.record.Address || n.Service != m.record.Service || n.Started != m.record.Started {
+		*m = member{outstanding: m.outstanding, oldest: m.oldest}
+	}
+	m.record = n
+	return true
+}
+
+// Remove forgets a host that has left for good.
+func (r *Roster) Remove(host string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if m := r.members[host]; m != nil && host != r.self.Host {
+		r.gone[host] = m.record.Started
+		delete(r.members, host)
+	}
+}
+
+// Records returns all hosts, the own one included, by name.
+func (r *Roster) Records() []Record {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	out := make([]Record, 0, len(r.members))
+	for _, m := range r.members {
+		out = append(out, m.record)
+	}
+	sort.Slice(out, func(a, b int) bool { return out[a].Host < out[b].Host })
+	return out
+}
+
+// Size returns the number of hosts, the own one included.
+func (r *Roster) Size() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return len(r.members)
+}
+
+// Sent counts a request that goes to a host.
+func (r *Roster) Sent(now time.Time, host string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if m := r.members[host]; m != nil {
+		if m.outstanding == 0 {
+			m.oldest = now
+		}
+		m.outstanding++
+	}
+}
+
+// Ended counts a request that has ended, however it did.
+func (r *Roster) Ended(host string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if m := r.members[host]; m != nil && m.outstanding > 0 {
+		m.outstanding--
+	}
+}
+
+// Replied takes the report that came with a reply or a refusal. Ran is true if the target ran the request, and failed
+// tells that it failed.
+func (r *Roster) Replied(now time.Time, host string, report mustardmast.TargetReport, ran, failed bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	m := r.members[host]
+	if m == nil {
+		return
+	}
+	m.report, m.reported, m.oldest = report, true, now
+	m.down, m.pause = false, 0
+	m.record.Ready = report.Ready
+	if report.Service != "" {
+		m.record.Service = report.Service
+	}
+	if ran {
+		x := 0.0
+		if failed {
+			x = 1
+		}
+		m.failing += failureWeight * (x - m.failing)
+	}
+}
+
+// Down takes the news that a host cannot be reached. It returns true if the host was believed to be up.
+func (r *Roster) Down(now time.Time, host string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	m := r.members[host]
+	if m == nil || host == r.self.Host {
+		return false
+	}
+	was := m.down
+	m.down = true
+	m.pause = min(longestPause, max(firstPause, 2*m.pause))
+	m.retryAt = now.Add(m.pause)
+	return !was
+}
+
+// Up takes the news that a host can be reached. It returns true if the host was believed to be down.
+func (r *Roster) Up(host string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	m := r.members[host]
+	if m == nil {
+		return false
+	}
+	was := m.down
+	m.down, m.pause = false, 0
+	return was
+}
+
+// Due returns the hosts that are down and should be tried again now.
+func (r *Roster) Due(now time.Time) []Record {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var out []Record
+	for _, m := range r.members {
+		if m.down && !now.Before(m.retryAt) {
+			out = append(out, m.record)
+		}
+	}
+	return out
+}
+
+// Choice is what a host is chosen for.
+type Choice struct {
+	Service string
+	Bulky   bool            // the request has a large body
+	Exclude map[string]bool // hosts that have turned it away
+}
+
+// Choose returns the host with the lowest price for a request.
+func (r *Roster) Choose(now time.Time, c Choice) (Record, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	usual := r.usual(c.Service)
+	var candidates []*member
+	for _, m := range r.members {
+		if m.record.Service == c.Service && m.record.Ready && !m.down && !c.Exclude[m.record.Host] {
+			candidates = append(candidates, m)
+		}
+	}
+	if len(candidates) == 0 {
+		return r.lastResort(now, c)
+	}
+	sort.Slice(candidates, func(a, b int) bool { return candidates[a].record.Host < candidates[b].record.Host })
+	if r.rand.Float64() < explore {
+		m := candidates[r.rand.IntN(len(candidates))]
+		if !m.silent(now, usual) && m.occupancy() < 1 {
+			return m.record, true
+		}
+	}
+	var best *member
+	lowest := 0.0
+	for _, m := range candidates {
+		if p := r.price(now, m, c, usual); best == nil || p < lowest {
+			best, lowest = m, p
+		}
+	}
+	return best.record, true
+}
+
+// lastResort returns a host that is down but may be tried again.
+func (r *Roster) lastResort(now time.Time, c Choice) (Record, bool) {
+	var best *member
+	for _, m := range r.members {
+		if m.record.Service != c.Service || !m.down || c.Exclude[m.record.Host] || now.Before(m.retryAt) {
+			continue
+		}
+		if best == nil || m.retryAt.Before(best.retryAt) {
+			best = m
+		}
+	}
+	if best == nil {
+		return Record{}, false
+	}
+	best.retryAt = now.Add(firstPause)
+	return best.record, true
+}
+
+// usual is the shortest duration reported for a service. It stands in for hosts that have not reported yet.
+func (r *Roster) usual(service string) time.Duration {
+	shortest := time.Duration(0)
+	for _, m := range r.members {
+		if m.record.Service == service && m.reported && (shortest == 0 || m.report.Duration < shortest) {
+			shortest = m.report.Duration
+		}
+	}
+	return shortest
+}
+
+func (m *member) occupancy() float64 {
+	if !m.reported || m.report.Limit == 0 {
+		return 0
+	}
+	return float64(max(m.outstanding, m.report.Running+m.report.Waiting)) / float64(m.report.Limit)
+}
+
+func (m *member) silent(now time.Time, usual time.Duration) bool {
+	if m.outstanding == 0 || m.oldest.IsZero() {
+		return false
+	}
+	duration := usual
+	if m.reported {
+		duration = m.report.Duration
+	}
+	return now.Sub(m.oldest) > max(silence, silentDurations*duration)
+}
+
+func (r *Roster) price(now time.Time, m *member, c Choice, usual time.Duration) float64 {
+	duration := float64(usual)
+	if m.reported {
+		duration = float64(m.report.Duration)
+	}
+	duration = max(duration, float64(time.Millisecond))
+	p := duration
+	if over := m.occupancy() - easy; over > 0 {
+		over /= 1 - easy
+		p += duration * crowding * over * over
+	}
+	if m.record.Domain != r.self.Domain {
+		if c.Bulky {
+			p += duration * crossBulky
+		} else {
+			p += duration * crossDomain
+		}
+	}
+	if m.silent(now, usual) {
+		p *= avoided
+	}
+	well := 1 - min(mostFailing, m.failing)
+	return p / (well * well) * (1 + spread*r.rand.Float64())
+}
--- /dev/null
+++ b/io/decisions/decisions.go
@@ -0,0 +1,153 @@
+// Package decisions logs and counts what a node decides about requests.
+//
+// A failed request is logged with the inputs of each decision that led to it. Requests that are served are logged too,
+// but fewer of them under load: each kind of line has a rate of its own, and what goes beyond it is only counted.
+package decisions
+
+import (
+	"fmt"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"go.uber.org/zap"
+
+	"mustardmast"
+	"mustardmast/core/fault"
+	"mustardmast/core/intake"
+	"mustardmast/core/lifetime"
+	"mustardmast/io/eventlog"
+)
+
+const (
+	servedPerSecond = 20  // lines for requests that were served
+	failedPerSecond = 150 // lines of each kind for requests that were not
+)
+
+// rejected stands in the place of an error kind for requests that no route or limit allows.
+const rejected = "rejected"
+
+// bounds of the latency histograms in seconds, doubling from 0.5 ms.
+var bounds = metrics.ExponentialBuckets(0.0005, 2, 15)
+
+// limiter lets a number of lines pass in each second.
+type limiter struct {
+	mu     sync.Mutex
+	second int64
+	passed int
+}
+
+func (l *limiter) allow(now time.Time, most int) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if s := now.Unix(); s != l.second {
+		l.second, l.passed = s, 0
+	}
+	l.passed++
+	return l.passed <= most
+}
+
+// Recorder logs and counts decisions. Its methods may be called concurrently and do not block.
+type Recorder struct {
+	log      *eventlog.Log
+	set      *metrics.Set
+	behind   func(host string, version uint64)
+	hostDown func(host string, err error)
+	lost     func(id string, err error)
+
+	answered, failed, rejected, offered, turned, ended limiter
+
+	latency, wait, run *metrics.PrometheusHistogram
+	limited            *metrics.Counter
+}
+
+// New returns a recorder that counts in set. Behind is called when another host has a later configuration, hostDown
+// when a host cannot be reached any more, and lost when the own target accepts no connections.
+func New(l *eventlog.Log, set *metrics.Set, behind func(string, uint64), hostDown, lost func(string, error)) *Recorder {
+	return &Recorder{
+		log: l, set: set, behind: behind, hostDown: hostDown, lost: lost,
+		latency: set.NewPrometheusHistogramExt("mustardmast_request_duration_seconds", bounds),
+		wait:    set.NewPrometheusHistogramExt("mustardmast_slot_wait_seconds", bounds),
+		run:     set.NewPrometheusHistogramExt("mustardmast_target_duration_seconds", bounds),
+		limited: set.NewCounter("mustardmast_log_lines_limited_total"),
+	}
+}
+
+func (r *Recorder) write(l *limiter, most int, e eventlog.Event, fields ...zap.Field) {
+	if !l.allow(time.Now(), most) {
+		r.limited.Inc()
+		return
+	}
+	r.log.Write(e, fields...)
+}
+
+func call(c *mustardmast.TargetCall) []zap.Field {
+	return []zap.Field{zap.String("request", c.ID), zap.String("route", c.Route), zap.String("service", c.Service), zap.Uint64("version", c.Version)}
+}
+
+func kind(err error) string {
+	if err == nil {
+		return fault.None.String()
+	}
+	return fault.From(err).Kind().String()
+}
+
+// Answered implements ingress.Observer.
+func (r *Recorder) Answered(c *mustardmast.TargetCall, status int, err error, took time.Duration) {
+	r.latency.Update(took.Seconds())
+	r.set.GetOrCreateCounter(fmt.Sprintf("mustardmast_requests_total{status=%q,error=%q}", strconv.Itoa(status), kind(err))).Inc()
+	fields := append(call(c), zap.Int("status", status), zap.Duration("took", took), zap.Bool("inner", c.Inner), zap.Bool("returned", c.Returned),
+		zap.Int("priority", c.Priority), zap.Duration("hold", c.Hold))
+	if err == nil && status < 500 {
+		r.write(&r.answered, servedPerSecond, eventlog.RequestAnswered, fields...)
+		return
+	}
+	r.write(&r.failed, failedPerSecond, eventlog.RequestFailed, append(fields, zap.NamedError("reason", err))...)
+}
+
+// Rejected implements ingress.Observer.
+func (r *Recorder) Rejected(id, host, path string, status int, reason string, version uint64) {
+	r.set.GetOrCreateCounter(fmt.Sprintf("mustardmast_requests_total{status=%q,error=%q}", strconv.Itoa(status), rejected)).Inc()
+	r.write(&r.rejected, failedPerSecond, eventlog.RequestRejected, zap.String("request", id), zap.String("host", host), zap.String("path", path),
+		zap.Int("status", status), zap.String("reason", reason), zap.Uint64("version", version))
+}
+
+// Placed implements placement.Observer.
+func (r *Recorder) Placed(c *mustardmast.TargetCall, host string, status int, err error, took time.Duration) {
+	r.set.GetOrCreateCounter(fmt.Sprintf("mustardmast_offers_total{error=%q}", kind(err))).Inc()
+	if err == nil && status < 500 {
+		return
+	}
+	r.write(&r.offered, failedPerSecond, eventlog.CallOffered, append(call(c), zap.String("to", host), zap.Int("status", status),
+		zap.Duration("took", took), zap.Duration("left", time.Until(c.Deadline)), zap.NamedError("reason", err))...)
+}
+
+// HostDown implements placement.Observer.
+func (r *Recorder) HostDown(host string, err error) { r.hostDown(host, err) }
+
+// Behind implements placement.Observer.
+func (r *Recorder) Behind(host string, version uint64) { r.behind(host, version) }
+
+// Turned implements localtarget.Observer.
+func (r *Recorder) Turned(c *mustardmast.TargetCall, err error, i intake.Report, t lifetime.Target) {
+	r.set.GetOrCreateCounter(fmt.Sprintf("mustardmast_turned_away_total{error=%q}", kind(err))).Inc()
+	r.write(&r.turned, failedPerSecond, eventlog.CallNotStarted, append(call(c), zap.String("from", c.Entry), zap.Int("running", i.Running),
+		zap.Int("waiting", i.Waiting), zap.Int("limit", i.Limit), zap.Duration("mean-run", i.Service), zap.Float64("level", i.Level),
+		zap.Duration("hold", c.Hold), zap.String("target", t.ID), zap.Stringer("state", t.State), zap.NamedError("reason", err))...)
+}
+
+// Ran implements localtarget.Observer.
+func (r *Recorder) Ran(c *mustardmast.TargetCall, waited, took time.Duration, err error, t lifetime.Target) {
+	r.wait.Update(waited.Seconds())
+	r.run.Update(took.Seconds())
+	if err == nil {
+		return
+	}
+	r.set.GetOrCreateCounter(fmt.Sprintf("mustardmast_target_failures_total{error=%q}", kind(err))).Inc()
+	r.write(&r.ended, failedPerSecond, eventlog.CallEnded, append(call(c), zap.String("from", c.Entry), zap.String("target", t.ID),
+		zap.Duration("waited", waited), zap.Duration("took", took), zap.NamedError("reason", err))...)
+}
+
+// TargetLost implements localtarget.Observer.
+func (r *Recorder) TargetLost(id string, err error) { r.lost(id, err) }
--- a/io/eventlog/eventlog.go
+++ b/io/eventlog/eventlog.go
@@ -22,12 +22,21 @@
 	Stopped                Event = 102
 	DrainTimedOut          Event = 103
 	ServerFailed           Event = 104
+	SettingsReloaded       Event = 105
+	SettingsRejected       Event = 106
 	TargetReady            Event = 200
 	TargetNotReady         Event = 201
 	TargetDraining         Event = 202
 	TargetCrashed          Event = 203
+	AnnouncementIgnored    Event = 204
+	TargetLost             Event = 205
 	MemberChanged          Event = 300
 	GossipNotSent          Event = 301
+	HostUp                 Event = 302
+	HostDown               Event = 303
+	HostChanged            Event = 304
+	HostLeft               Event = 305
+	HostEntryUnreadable    Event = 306
 	ConfigInstalled        Event = 400
 	ConfigOlder            Event = 401
 	ConfigDiffers          Event = 402
@@ -38,10 +47,17 @@
 	RequestQuarantined     Event = 500
 	QuarantineCleared      Event = 501
 	HandlerPanicked        Event = 502
+	RequestAnswered        Event = 510
+	RequestFailed          Event = 511
+	RequestRejected        Event = 512
+	CallOffered            Event = 513
+	CallNotStarted         Event = 514
+	CallEnded              Event = 515
 	PlatformDown           Event = 600
 	PlatformUp             Event = 601
 	SeedsUnreadable        Event = 602
 	SeedsNotWritten        Event = 603
+	HostNotRegistered      Event = 604
 )
 
 // Row is one line of the catalogue.
@@ -58,11 +74,20 @@
 	Stopped:                {zapcore.InfoLevel, "stopped", "the process ends"},
 	DrainTimedOut:          {zapcore.WarnLevel, "drain-timed-out", "calls were still in flight at the end of the drain timeout"},
 	ServerFailed:           {zapcore.ErrorLevel, "server-failed", "a listener ended with an error"},
+	SettingsReloaded:       {zapcore.InfoLevel, "settings-reloaded", "the settings file was read again; what can change without a restart is in force"},
+	SettingsRejected:       {zapcore.ErrorLevel, "settings-rejected", "the changed settings file has faults; the settings in force stay"},
 	TargetReady:            {zapcore.InfoLevel, "target-ready", "the target on this host takes calls"},
 	TargetNotReady:         {zapcore.WarnLevel, "target-not-ready", "the target missed its heartbeats or has not announced itself"},
 	TargetDraining:         {zapcore.InfoLevel, "target-draining", "the target gets no new calls"},
 	TargetCrashed:          {zapcore.WarnLevel, "target-crashed", "the target broke the connections of all calls in flight"},
+	AnnouncementIgnored:    {zapcore.WarnLevel, "announcement-ignored", "an announcement cannot be read, is about another address, or is older than what is known"},
+	TargetLost:             {zapcore.WarnLevel, "target-lost", "the target accepts no connections or another one has its address; its next announcement brings it back"},
 	MemberChanged:          {zapcore.InfoLevel, "member-changed", "a member's state changed in this node's view"},
+	HostUp:                 {zapcore.InfoLevel, "host-up", "the node of a host answers again"},
+	HostDown:               {zapcore.WarnLevel, "host-down", "the node of a host cannot be reached; it gets calls only if no other one can"},
+	HostChanged:            {zapcore.InfoLevel, "host-changed", "a host is new, or its address, service or readiness has changed"},
+	HostLeft:               {zapcore.InfoLevel, "host-left", "a host has left for good"},
+	HostEntryUnreadable:    {zapcore.WarnLevel, "host-entry-unreadable", "an entry of a host in the platform cannot be read; it is passed over"},
 	ConfigInstalled:        {zapcore.InfoLevel, "config-installed", "a newer generation of the configuration is in force"},
 	ConfigOlder:            {zapcore.ErrorLevel, "config-older", "the platform or a peer shows a lower generation than the one in force; it was not installed"},
 	ConfigDiffers:          {zapcore.ErrorLevel, "config-differs", "another text has the generation in force; it was not installed"},
@@ -74,10 +99,17 @@
 	RequestQuarantined:     {zapcore.WarnLevel, "request-quarantined", "requests with this fingerprint crashed targets and are refused"},
 	QuarantineCleared:      {zapcore.InfoLevel, "quarantine-cleared", "an operator cleared a fingerprint"},
 	HandlerPanicked:        {zapcore.ErrorLevel, "handler-panicked", "a fault of the node itself; the call was answered as internal"},
+	RequestAnswered:        {zapcore.InfoLevel, "request-answered", "a request got its target's answer"},
+	RequestFailed:          {zapcore.WarnLevel, "request-failed", "a request was turned away or failed; the error says by which decision"},
+	RequestRejected:        {zapcore.WarnLevel, "request-rejected", "no route or limit allows the request"},
+	CallOffered:            {zapcore.InfoLevel, "call-offered", "a call was offered to the node of a host, with what came of it"},
+	CallNotStarted:         {zapcore.WarnLevel, "call-not-started", "the node beside the target turned a call away before it started"},
+	CallEnded:              {zapcore.WarnLevel, "call-ended", "a call that was started on the target failed"},
 	PlatformDown:           {zapcore.WarnLevel, "platform-down", "the platform does not answer; the configuration in force stays"},
 	PlatformUp:             {zapcore.InfoLevel, "platform-up", "the platform answers again"},
 	SeedsUnreadable:        {zapcore.WarnLevel, "seeds-unreadable", "the object with first peers cannot be read; it is written anew"},
 	SeedsNotWritten:        {zapcore.DebugLevel, "seeds-not-written", "the object with first peers was not written; the next refresh tries again"},
+	HostNotRegistered:      {zapcore.WarnLevel, "host-not-registered", "the host's entry in the platform could not be written or removed; it is tried again"},
 }
 
 // Log writes events.
--- /dev/null
+++ b/io/fleet/fleet.go
@@ -0,0 +1,442 @@
+// Package fleet keeps a node in step with the others: the hosts that it knows and the configuration in force.
+//
+// The platform's store serves for first contact: each node enters its address there at its start, reads the entries of
+// the others, and introduces itself to each of them. From then on nodes tell each other what changes, and a node that
+// cannot be reached is tried again directly. The configuration comes by a watch on the store; every message between
+// nodes carries the version of its sender, and a node that is behind fetches the configuration from the one that is
+// ahead.
+package fleet
+
+import (
+	"context"
+	"hash/fnv"
+	"math/rand/v2"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+
+	"mustardmast"
+	"mustardmast/core/fault"
+	"mustardmast/core/roster"
+	"mustardmast/core/routing"
+	"mustardmast/io/eventlog"
+	"mustardmast/io/hostlink"
+)
+
+const (
+	// watchPart is the wait of a watch for each host of the fleet. A watch whose connection has gone silent is noticed
+	// when its wait is over; with many hosts some watch ends soon, and the others hear of a change from that node.
+	watchPart    = 250 * time.Millisecond
+	leastWatch   = 2 * time.Second
+	longestWatch = 30 * time.Second // the most that the store allows
+	// callTimeout is for one call to the store that does not wait. A slow store takes some hundred milliseconds.
+	callTimeout = 1500 * time.Millisecond
+	// firstRetry and longestRetry bound the pause after a call to the store that failed.
+	firstRetry   = 100 * time.Millisecond
+	longestRetry = time.Second
+	// messageTimeout is for one message to another node.
+	messageTimeout = 600 * time.Millisecond
+	// gossipPeriod is how often a node compares what it knows with another one.
+	gossipPeriod = 3 * time.Second
+	// probePeriod is how often hosts that are down are looked through for those that are due.
+	probePeriod = 200 * time.Millisecond
+	// parallel bounds the messages that are sent at a time.
+	parallel = 8
+)
+
+// Store is what a fleet needs of the platform.
+type Store interface {
+	Configuration(ctx context.Context) (routing.Document, error)
+	WatchConfiguration(ctx context.Context, after uint64, wait time.Duration) (routing.Document, error)
+	Hosts(ctx context.Context) (hosts []roster.Record, unreadable []string, err error)
+	Register(ctx context.Context, r roster.Record) error
+	Remove(ctx context.Context, host string) error
+	CloseIdle()
+}
+
+type document struct {
+	table *routing.Table
+	raw   []byte
+}
+
+// Fleet is one node's view of the others. Its methods may be called concurrently.
+type Fleet struct {
+	roster *roster.Roster
+	link   *hostlink.Client
+	store  Store
+	timers mustardmast.Timers
+	decode func(raw []byte) (*routing.Table, error)
+	log    *eventlog.Log
+
+	document atomic.Pointer[document]
+	known    atomic.Bool // hosts have been read from the store or from another node
+	storeUp  atomic.Bool
+	fetching atomic.Bool
+	probing  sync.Map // hosts that are being probed
+	ctx      context.Context
+	stop     context.CancelFunc
+}
+
+// New returns a fleet that knows nothing. Decode decodes a configuration that another node has sent.
+func New(r *roster.Roster, link *hostlink.Client, s Store, t mustardmast.Timers, decode func([]byte) (*routing.Table, error), l *eventlog.Log) *Fleet {
+	ctx, stop := context.WithCancel(context.Background())
+	return &Fleet{roster: r, link: link, store: s, timers: t, decode: decode, log: l, ctx: ctx, stop: stop}
+}
+
+// Start begins to read the store and to talk to other nodes.
+func (f *Fleet) Start() {
+	go f.followConfiguration()
+	go f.join()
+	f.timers.Every(probePeriod, func(now time.Time) {
+		for _, r := range f.roster.Due(now) {
+			go f.probe(r)
+		}
+	})
+	f.timers.Every(gossipPeriod, func(time.Time) { go f.compare() })
+}
+
+// Stop ends it.
+func (f *Fleet) Stop() { f.stop() }
+
+// Ready reports whether requests can be served: a configuration is in force and other hosts are known.
+func (f *Fleet) Ready() bool { return f.document.Load() != nil && f.known.Load() }
+
+// Table is the configuration in force; nil before the first one.
+func (f *Fleet) Table() *routing.Table {
+	if d := f.document.Load(); d != nil {
+		return d.table
+	}
+	return nil
+}
+
+// Version is the version of the configuration in force; 0 before the first one.
+func (f *Fleet) Version() uint64 {
+	if t := f.Table(); t != nil {
+		return t.Version()
+	}
+	return 0
+}
+
+// Document implements hostlink.Gossip.
+func (f *Fleet) Document() []byte {
+	if d := f.document.Load(); d != nil {
+		return d.raw
+	}
+	return nil
+}
+
+// install puts a configuration in force if it is later than the one that is.
+func (f *Fleet) install(t *routing.Table, raw []byte, from string) {
+	next := &document{table: t, raw: raw}
+	for {
+		now := f.document.Load()
+		if now != nil && now.table.Version() >= t.Version() {
+			return
+		}
+		if f.document.CompareAndSwap(now, next) {
+			f.log.Write(eventlog.ConfigInstalled, zap.Uint64("version", t.Version()), zap.String("from", from))
+			return
+		}
+	}
+}
+
+func (f *Fleet) followConfiguration() {
+	var revision uint64
+	pause := firstRetry
+	for f.ctx.Err() == nil {
+		var d routing.Document
+		var err error
+		if revision == 0 {
+			ctx, cancel := context.WithTimeout(f.ctx, callTimeout)
+			d, err = f.store.Configuration(ctx)
+			cancel()
+		} else {
+			d, err = f.store.WatchConfiguration(f.ctx, revision, f.watch())
+		}
+		f.noteStore(err)
+		switch {
+		case err != nil && d.Raw != nil:
+			f.log.Write(eventlog.ConfigObjectUnreadable, zap.Error(err))
+			revision = d.Revision
+		case err != nil:
+			f.store.CloseIdle()
+			f.sleep(pause)
+			pause = min(longestRetry, 2*pause)
+			continue
+		case d.Lost:
+			revision = 0
+		default:
+			revision = d.Revision
+		}
+		pause = firstRetry
+		if d.Table != nil {
+			f.install(d.Table, d.Raw, "platform")
+		}
+		if f.Table() == nil {
+			f.sleep(firstRetry)
+		}
+	}
+}
+
+// watch is the wait of one watch. It is random so that the watches of the nodes do not end together.
+func (f *Fleet) watch() time.Duration {
+	w := min(longestWatch, max(leastWatch, time.Duration(f.roster.Size())*watchPart))
+	return time.Duration((0.75 + 0.5*rand.Float64()) * float64(w))
+}
+
+func (f *Fleet) noteStore(err error) {
+	if up := err == nil; f.storeUp.Swap(up) != up {
+		if up {
+			f.log.Write(eventlog.PlatformUp)
+		} else {
+			f.log.Write(eventlog.PlatformDown, zap.Error(err), zap.Uint64("version", f.Version()))
+		}
+	}
+}
+
+func (f *Fleet) sleep(d time.Duration) {
+	t := time.NewTimer(d/2 + rand.N(d))
+	defer t.Stop()
+	select {
+	case <-f.ctx.Done():
+	case <-t.C:
+	}
+}
+
+// join enters this host in the store, reads the others, and introduces itself.
+func (f *Fleet) join() {
+	registered, pause := false, firstRetry
+	for f.ctx.Err() == nil {
+		var err error
+		if !registered {
+			if err = f.register(); err == nil {
+				registered = true
+			}
+		}
+		if lerr := f.list(); lerr == nil {
+			if registered {
+				return
+			}
+		} else {
+			err = lerr
+		}
+		f.log.Write(eventlog.HostNotRegistered, zap.Error(err))
+		f.sleep(pause)
+		pause = min(longestRetry, 2*pause)
+	}
+}
+
+func (f *Fleet) register() error {
+	ctx, cancel := context.WithTimeout(f.ctx, callTimeout)
+	defer cancel()
+	return f.store.Register(ctx, f.roster.Self())
+}
+
+func (f *Fleet) list() error {
+	ctx, cancel := context.WithTimeout(f.ctx, callTimeout)
+	defer cancel()
+	hosts, unreadable, err := f.store.Hosts(ctx)
+	if err != nil {
+		return err
+	}
+	for _, name := range unreadable {
+		f.log.Write(eventlog.HostEntryUnreadable, zap.String("entry", name))
+	}
+	for _, r := range hosts {
+		r.Ready = true // until the host says otherwise
+		f.merge(r, false)
+	}
+	f.known.Store(true)
+	f.tellAll()
+	return nil
+}
+
+func (f *Fleet) merge(r roster.Record, direct bool) {
+	if r.Host == "" || r.Address == "" {
+		return
+	}
+	if f.roster.Merge(r, direct) {
+		f.log.Write(eventlog.HostChanged, zap.String("host", r.Host), zap.String("address", r.Address), zap.String("service", r.Service),
+			zap.Bool("ready", r.Ready), zap.Bool("direct", direct), zap.Int64("started-ms", r.Started), zap.Uint64("sequence", r.Sequence))
+	}
+}
+
+// Change tells the other nodes what has changed on this host.
+func (f *Fleet) Change(service string, ready bool) {
+	if r, changed := f.roster.Change(service, ready); changed {
+		f.log.Write(eventlog.HostChanged, zap.String("host", r.Host), zap.String("service", service), zap.Bool("ready", ready), zap.Uint64("sequence", r.Sequence))
+		f.tellAll()
+	}
+}
+
+// tellAll sends the own record to every host.
+func (f *Fleet) tellAll() {
+	hosts := make(chan roster.Record)
+	self := f.roster.Self().Host
+	go func() {
+		defer close(hosts)
+		for _, r := range f.roster.Records() {
+			if r.Host != self {
+				hosts <- r
+			}
+		}
+	}()
+	for range parallel {
+		go func() {
+			for r := range hosts {
+				f.probe(r)
+			}
+		}()
+	}
+}
+
+// probe sends the own record to a host and takes its answer.
+func (f *Fleet) probe(r roster.Record) {
+	f.exchange(r, hostlink.News{From: f.roster.Self(), Version: f.Version()})
+}
+
+// compare compares the known hosts with those of another node.
+func (f *Fleet) compare() {
+	records := f.roster.Records()
+	r := records[rand.IntN(len(records))]
+	self := f.roster.Self()
+	if r.Host != self.Host {
+		f.exchange(r, hostlink.News{From: self, Version: f.Version(), Digest: digest(records)})
+	}
+}
+
+func (f *Fleet) exchange(r roster.Record, n hostlink.News) {
+	ctx, cancel := context.WithTimeout(f.ctx, messageTimeout)
+	defer cancel()
+	if _, busy := f.probing.LoadOrStore(r.Host, struct{}{}); busy && n.Digest != 0 {
+		return
+	}
+	defer f.probing.Delete(r.Host)
+	answer, err := f.link.Exchange(ctx, r.Address, n)
+	if err != nil {
+		if f.ctx.Err() == nil && f.roster.Down(f.timers.Now(), r.Host) {
+			f.HostDown(r.Host, err)
+		}
+		return
+	}
+	if answer.From.Host != r.Host {
+		return // another host has the address by now
+	}
+	if f.roster.Up(r.Host) {
+		f.log.Write(eventlog.HostUp, zap.String("host", r.Host))
+	}
+	f.take(answer)
+}
+
+// Exchange implements hostlink.Gossip.
+func (f *Fleet) Exchange(n hostlink.News) hostlink.News {
+	f.take(n)
+	records := f.roster.Records()
+	answer := hostlink.News{From: f.roster.Self(), Version: f.Version()}
+	if n.Digest != 0 && n.Digest != digest(records) {
+		answer.Hosts = records
+	}
+	if !f.known.Load() && n.From.Host != "" {
+		go f.compareWith(n.From)
+	}
+	return answer
+}
+
+// compareWith asks a host for all that it knows, when the store could not be read yet.
+func (f *Fleet) compareWith(r roster.Record) {
+	f.exchange(r, hostlink.News{From: f.roster.Self(), Version: f.Version(), Digest: digest(f.roster.Records())})
+}
+
+func (f *Fleet) take(n hostlink.News) {
+	if n.From.Host != "" {
+		f.merge(n.From, true)
+		if f.roster.Up(n.From.Host) {
+			f.log.Write(eventlog.HostUp, zap.String("host", n.From.Host))
+		}
+	}
+	for _, r := range n.Hosts {
+		f.merge(r, false)
+	}
+	if len(n.Hosts) > 0 {
+		f.known.Store(true)
+	}
+	for _, host := range n.Left {
+		f.roster.Remove(host)
+		f.log.Write(eventlog.HostLeft, zap.String("host", host), zap.String("from", n.From.Host))
+	}
+	if n.Version > f.Version() {
+		f.Behind(n.From.Host, n.Version)
+	}
+}
+
+// digest is equal for nodes that know the same of the same hosts.
+func digest(records []roster.Record) uint64 {
+	h := fnv.New64a()
+	for _, r := range records {
+		_, _ = h.Write([]byte(r.Host + "/" + r.Address + "/" + strconv.FormatInt(r.Started, 10) + "/")) // a hash never fails
+	}
+	return h.Sum64() | 1
+}
+
+// HostDown reports that a host cannot be reached.
+func (f *Fleet) HostDown(host string, err error) {
+	f.log.Write(eventlog.HostDown, zap.String("host", host), zap.Error(err))
+}
+
+// Behind fetches the configuration from a host that has a later one.
+func (f *Fleet) Behind(host string, version uint64) {
+	if version <= f.Version() || !f.fetching.CompareAndSwap(false, true) {
+		return
+	}
+	go func() {
+		defer f.fetching.Store(false)
+		for _, r := range f.roster.Records() {
+			if r.Host == host {
+				f.fetch(r)
+			}
+		}
+	}()
+}
+
+func (f *Fleet) fetch(r roster.Record) {
+	ctx, cancel := context.WithTimeout(f.ctx, messageTimeout)
+	defer cancel()
+	raw, err := f.link.Document(ctx, r.Address)
+	if err != nil {
+		f.log.Write(eventlog.ConfigNotPulled, zap.String("host", r.Host), zap.Error(err))
+		return
+	}
+	t, err := f.decode(raw)
+	if err != nil {
+		f.log.Write(eventlog.ConfigRejected, zap.String("from", r.Host), zap.Error(err))
+		return
+	}
+	f.install(t, raw, r.Host)
+}
+
+// Leave tells the others that this host takes no more calls. If it leaves for good, its entry in the store goes.
+func (f *Fleet) Leave(forGood bool) {
+	f.Change(f.roster.Self().Service, false)
+	if !forGood {
+		return
+	}
+	ctx, cancel := context.WithTimeout(f.ctx, callTimeout)
+	defer cancel()
+	if err := f.store.Remove(ctx, f.roster.Self().Host); err != nil {
+		f.log.Write(eventlog.HostNotRegistered, zap.Error(err))
+	}
+	self := f.roster.Self().Host
+	for _, r := range f.roster.Records() {
+		if r.Host != self {
+			ctx, cancel := context.WithTimeout(f.ctx, messageTimeout/4)
+			// A host that does not hear of it finds this one down.
+			if _, err := f.link.Exchange(ctx, r.Address, hostlink.News{From: f.roster.Self(), Left: []string{self}, Version: f.Version()}); err != nil {
+				f.log.Write(eventlog.HostDown, zap.String("host", r.Host), zap.Error(fault.Wrap(err, fault.PeerUnreachable, "leaving")))
+			}
+			cancel()
+		}
+	}
+}
--- /dev/null
+++ b/io/ingress/ingress.go
@@ -0,0 +1,326 @@
+// Package ingress serves the requests of clients on this host and the calls of its target.
+//
+// A request is matched to a route, shed if the chain behind it is overloaded, and placed on a target. The caller is told
+// the truth about the outcome: 503 means that the request has not run and will not, 502 and 504 promise nothing, and an
+// answer that breaks off never looks complete.
+package ingress
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"net/textproto"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"mustardmast"
+	"mustardmast/core/fault"
+	"mustardmast/core/pressure"
+	"mustardmast/core/returning"
+	"mustardmast/core/routing"
+	"mustardmast/io/localtarget"
+	"mustardmast/io/placement"
+)
+
+const (
+	// wholeBody is the largest body that is held, so that the request can be placed again.
+	wholeBody = 512 << 10
+	// heldBodies bounds the bodies that are held at a time; above it bodies are passed on as they come.
+	heldBodies = 24 << 20
+	copyBuffer = 32 << 10
+	// holdPart is the part of the time in which an answer is worth most that a request may wait for a slot.
+	holdPart  = 0.2
+	leastHold = 8 * time.Millisecond
+	// innerHold is the part of the time left that a call of a running request may wait.
+	innerHold = 0.5
+	// Callers come back after a part of the time that is left to their objective, at random so that those turned away
+	// together do not return together, and after no more than a third of their time.
+	returnFrom, returnTo = 0.3, 0.5
+	mostReturn           = 1.0 / 3
+	leastReturn          = 20 * time.Millisecond
+	// answerMargin is taken off the route's timeout, so that the answer is out by then.
+	answerMargin = 5 * time.Millisecond
+)
+
+// Observer is told how requests end. Its methods must not block.
+type Observer interface {
+	// Answered is called at the end of each request. Err is the node's own failure, nil for a target's answer.
+	Answered(c *mustardmast.TargetCall, status int, err error, took time.Duration)
+	// Rejected is called for a request that no route or limit allows.
+	Rejected(id, host, path string, status int, reason string, version uint64)
+}
+
+// Parts are what a Handler is built from.
+type Parts struct {
+	Names    mustardmast.HeaderNames
+	Host     string // name of this host
+	Service  func() string
+	Table    func() *routing.Table // nil before the first configuration
+	Placer   *placement.Placer
+	Levels   *pressure.Levels
+	Callers  *returning.Callers
+	Runs     *localtarget.Executor // of the target, whose requests belong to its runs
+	Observer Observer
+	Leaving  func() bool
+}
+
+// Handler implements http.Handler.
+type Handler struct {
+	parts  Parts
+	held   atomic.Int64
+	active atomic.Int64
+}
+
+// New returns a handler.
+func New(p Parts) *Handler { return &Handler{parts: p} }
+
+// Active is the number of requests that are being served.
+func (h *Handler) Active() int64 { return h.active.Load() }
+
+// request is one request with what was found out about it.
+type request struct {
+	call    *mustardmast.TargetCall
+	route   *routing.Route
+	version uint64
+	left    time.Duration // that the caller waits
+	waited  time.Duration // that the caller has waited before
+	arrived time.Time
+	key     uint64           // of the caller's request, if it comes again
+	run     *localtarget.Run // that the request belongs to; nil for a client's
+	body    func() io.Reader
+	release func()
+}
+
+// ServeHTTP implements http.Handler.
+func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	h.active.Add(1)
+	defer h.active.Add(-1)
+	began := time.Now()
+	if h.parts.Leaving() {
+		w.Header().Set("Connection", "close")
+	}
+	q, ok := h.accept(w, r, began)
+	if !ok {
+		return
+	}
+	defer q.release()
+	ctx, cancel := context.WithDeadline(r.Context(), q.call.Deadline)
+	defer cancel()
+	reply, err := h.place(ctx, q)
+	if err != nil {
+		status := h.refuse(w, q, err)
+		h.parts.Observer.Answered(q.call, status, err, time.Since(began))
+		return
+	}
+	if q.waited > 0 && reply.Status < http.StatusInternalServerError {
+		h.parts.Callers.Served(q.key)
+	}
+	err = h.answer(w, reply)
+	h.parts.Observer.Answered(q.call, reply.Status, err, time.Since(began))
+	if err != nil {
+		panic(http.ErrAbortHandler) // closes the connection, so that the answer does not look complete
+	}
+}
+
+// accept matches a request to its route and takes it apart. It answers those that it does not accept.
+func (h *Handler) accept(w http.ResponseWriter, r *http.Request, now time.Time) (*request, bool) {
+	id, path := r.Header.Get(h.parts.Names.RequestID), r.URL.EscapedPath()
+	if strings.HasPrefix(r.RequestURI, "/") {
+		path, _, _ = strings.Cut(r.RequestURI, "?")
+	}
+	reject := func(status int, reason string, version uint64) (*request, bool) {
+		w.WriteHeader(status)
+		h.parts.Observer.Rejected(id, r.Host, path, status, reason, version)
+		return nil, false
+	}
+	t := h.parts.Table()
+	if t == nil {
+		w.Header().Set(h.parts.Names.RetryAfter, "0.3")
+		return reject(http.StatusServiceUnavailable, "no configuration yet", 0)
+	}
+	route := t.Lookup(r.Host, path)
+	if route == nil {
+		return reject(http.StatusNotFound, "no route", t.Version())
+	}
+	if most := t.Limits().BodyBytes; most > 0 && r.ContentLength > most {
+		return reject(http.StatusRequestEntityTooLarge, "body above the limit", t.Version())
+	}
+	q := h.request(r, route, t, now)
+	if err := h.takeBody(w, r, q, t.Limits().BodyBytes); err != nil {
+		q.release()
+		var large *http.MaxBytesError
+		if errors.As(err, &large) {
+			return reject(http.StatusRequestEntityTooLarge, "body above the limit", t.Version())
+		}
+		return reject(http.StatusBadRequest, "the body could not be read: "+err.Error(), t.Version())
+	}
+	return q, true
+}
+
+func (h *Handler) request(r *http.Request, route *routing.Route, t *routing.Table, now time.Time) *request {
+	left := route.Timeout()
+	if ms, err := strconv.ParseFloat(r.Header.Get(h.parts.Names.TimeLeft), 64); err == nil && ms >= 0 {
+		left = time.Duration(ms * float64(time.Millisecond))
+	}
+	q := &request{route: route, version: t.Version(), left: left, arrived: now, release: func() {}}
+	c := &mustardmast.TargetCall{
+		ID: r.Header.Get(h.parts.Names.RequestID), Service: route.Next(), Route: route.Key(), Version: t.Version(), Entry: h.parts.Host,
+		Method: r.Method, URI: r.RequestURI, Host: r.Host, Header: h.forwarded(r.Header), Length: r.ContentLength,
+		Priority: route.Priority(), Repeatable: route.Kind().Repeatable(),
+		Deadline: now.Add(min(left, route.Timeout()-answerMargin)),
+	}
+	if !strings.HasPrefix(c.URI, "/") {
+		c.URI = r.URL.RequestURI()
+	}
+	if q.run = h.parts.Runs.Caller(c.ID); q.run != nil {
+		c.Inner, c.Priority, c.Repeat = true, q.run.Priority(), q.run.Repeat()
+		c.Hold = time.Duration(innerHold * float64(c.Deadline.Sub(now)))
+	} else {
+		q.key = returning.Key(r.Host, c.URI, r.ContentLength)
+		q.waited = h.parts.Callers.Waited(now, q.key)
+		c.Returned = q.waited > 0
+		useful := min(route.Objective()-q.waited, c.Deadline.Sub(now))
+		c.Hold = max(leastHold, time.Duration(holdPart*float64(useful)))
+	}
+	q.call = c
+	return q
+}
+
+// forwarded returns the fields that go to the target.
+func (h *Handler) forwarded(in http.Header) http.Header {
+	out := make(http.Header, len(in)+1)
+	for name, values := range in {
+		out[name] = values
+	}
+	for _, field := range in["Connection"] {
+		for _, name := range strings.Split(field, ",") {
+			out.Del(textproto.TrimString(name))
+		}
+	}
+	for _, name := range mustardmast.ConnectionFields {
+		delete(out, name)
+	}
+	n := h.parts.Names
+	for _, name := range []string{"Content-Length", "Expect", n.TimeLeft, n.Expected} {
+		out.Del(name)
+	}
+	out.Set(n.Caller, h.parts.Service())
+	return out
+}
+
+// takeBody reads the body if it is small enough to be held.
+func (h *Handler) takeBody(w http.ResponseWriter, r *http.Request, q *request, most int64) error {
+	if r.Body == nil || r.Body == http.NoBody || r.ContentLength == 0 {
+		q.call.Length = 0
+		q.body = func() io.Reader { return nil }
+		return nil
+	}
+	if most > 0 && r.ContentLength < 0 {
+		r.Body = http.MaxBytesReader(w, r.Body, most)
+	}
+	reserved := r.ContentLength
+	if reserved < 0 {
+		reserved = wholeBody
+	}
+	if r.ContentLength > wholeBody || h.held.Add(reserved) > heldBodies {
+		if r.ContentLength <= wholeBody {
+			h.held.Add(-reserved)
+		}
+		q.call.Body = r.Body
+		return nil
+	}
+	q.release = func() { h.held.Add(-reserved) }
+	_ = http.NewResponseController(w).SetReadDeadline(q.call.Deadline) // without it the server's own limits hold
+	raw, err := io.ReadAll(io.LimitReader(r.Body, wholeBody))
+	_ = http.NewResponseController(w).SetReadDeadline(time.Time{})
+	if err != nil {
+		return err
+	}
+	if len(raw) == wholeBody && r.ContentLength < 0 {
+		q.call.Body = io.MultiReader(bytes.NewReader(raw), r.Body)
+		return nil
+	}
+	q.call.Length = int64(len(raw))
+	q.body = func() io.Reader { return bytes.NewReader(raw) }
+	return nil
+}
+
+// place sheds a request or takes it to a target.
+func (h *Handler) place(ctx context.Context, q *request) (*mustardmast.TargetReply, error) {
+	if !q.call.Inner {
+		now := time.Now()
+		level := h.parts.Levels.Level(now, q.call.Route)
+		draw := 1.0
+		if !q.call.Returned {
+			draw = rand.Float64()
+		}
+		if pressure.Sheds(level, q.call.Priority, h.parts.Table().LeastPriority(), draw) {
+			return nil, fault.Newf(fault.Shed, "level %.2f of %q", level, q.call.Route)
+		}
+	}
+	var met func(float64)
+	if q.run != nil {
+		met = q.run.Met
+	}
+	return h.parts.Placer.Place(ctx, q.call, q.body, q.route.MaxAttempts(), met)
+}
+
+// refuse answers a request that the system failed or turned away, and returns the status.
+func (h *Handler) refuse(w http.ResponseWriter, q *request, err error) int {
+	f := fault.From(err)
+	status := http.StatusBadGateway
+	switch {
+	case f.Outcome() == fault.NotExecuted:
+		status = http.StatusServiceUnavailable
+		if !q.call.Inner {
+			h.parts.Callers.TurnedAway(q.arrived, q.key)
+		}
+		w.Header().Set(h.parts.Names.RetryAfter, strconv.FormatFloat(h.comeBack(q, f).Seconds(), 'f', 3, 64))
+	case f.Kind() == fault.DeadlineExceeded || f.Kind() == fault.DeadlinePassed:
+		status = http.StatusGatewayTimeout
+	}
+	w.Header().Set(h.parts.Names.RequestID, q.call.ID)
+	w.WriteHeader(status)
+	return status
+}
+
+// comeBack is when a caller whose request has not run should return.
+func (h *Handler) comeBack(q *request, f *fault.Error) time.Duration {
+	objective := max(0, q.route.Objective()-q.waited)
+	part := returnFrom + (returnTo-returnFrom)*rand.Float64()
+	d := max(leastReturn, time.Duration(part*float64(objective)), f.RetryAfter())
+	return min(d, time.Duration(mostReturn*float64(q.left)))
+}
+
+// answer passes a target's answer on.
+func (h *Handler) answer(w http.ResponseWriter, r *mustardmast.TargetReply) error {
+	defer func() { _ = r.Body.Close() }() // the read has told of a failure already
+	for name, values := range r.Header {
+		if name != "Content-Length" {
+			w.Header()[name] = values
+		}
+	}
+	for _, name := range []string{"Content-Type", "Date"} {
+		if _, ok := r.Header[name]; !ok {
+			w.Header()[name] = nil // the server adds none of its own
+		}
+	}
+	if r.Length >= 0 {
+		w.Header().Set("Content-Length", strconv.FormatInt(r.Length, 10))
+	}
+	w.WriteHeader(r.Status)
+	_, err := io.CopyBuffer(onlyWriter{w}, r.Body, make([]byte, min(copyBuffer, max(512, r.Length+1))))
+	if errors.Is(err, http.ErrBodyNotAllowed) {
+		return nil
+	}
+	return err
+}
+
+// onlyWriter hides ReadFrom, so that the given buffer is used.
+type onlyWriter struct{ io.Writer }
--- /dev/null
+++ b/io/targetconn/targetconn.go
@@ -0,0 +1,420 @@
+// Package targetconn speaks HTTP/1.1 to the target on this host.
+//
+// A target may answer before it has read a request, send a second answer after a complete one, break off, or never
+// answer at all. So the package does not use net/http's client: it keeps connections of its own, passes over answers
+// that belong to an earlier request, and tells apart a request that was never sent, one that the target refused, and one
+// that may have run.
+package targetconn
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"mustardmast"
+	"mustardmast/core/fault"
+)
+
+const (
+	dialTimeout = 300 * time.Millisecond // the target is on this host; a connection costs about a millisecond
+	// idleDefault is how long a connection is kept if the target does not say when it closes idle ones.
+	idleDefault = 4 * time.Second
+	// idleMargin is left before the moment at which the target closes an idle connection.
+	idleMargin = 800 * time.Millisecond
+	// idleOnce is how long a connection may have been idle for a request that must not be sent twice: a connection
+	// that the target has dropped leaves such a request with an unknown outcome.
+	idleOnce = 700 * time.Millisecond
+	// answerGrace is the wait for an answer beyond the deadline; the target itself answers at the deadline.
+	answerGrace = 150 * time.Millisecond
+	// inlineBody is the largest body that is sent in one write with its head.
+	inlineBody = 16 << 10
+	copyBuffer = 32 << 10
+	readBuffer = 4 << 10
+	// mostForeign bounds the answers to earlier requests that are passed over.
+	mostForeign = 4
+	maxIdle     = 512
+)
+
+type conn struct {
+	net.Conn
+	r         *bufio.Reader
+	since     time.Time // idle since
+	idleUntil time.Time
+	idleFor   time.Duration
+}
+
+// Pool holds the connections to one target. Its methods may be called concurrently.
+type Pool struct {
+	address string
+	names   mustardmast.HeaderNames
+	dialed  func()
+
+	mu   sync.Mutex
+	idle []*conn
+}
+
+// New returns a pool without connections. It calls dialed for each new connection.
+func New(address string, names mustardmast.HeaderNames, dialed func()) *Pool {
+	return &Pool{address: address, names: names, dialed: dialed}
+}
+
+// Forget closes the idle connections, for example when another lifetime answers at the address.
+func (p *Pool) Forget() {
+	p.mu.Lock()
+	idle := p.idle
+	p.idle = nil
+	p.mu.Unlock()
+	for _, c := range idle {
+		_ = c.Close() // nothing is under way on it
+	}
+}
+
+func (p *Pool) take(now time.Time, repeatable bool) *conn {
+	for {
+		p.mu.Lock()
+		last := len(p.idle) - 1
+		if last < 0 {
+			p.mu.Unlock()
+			return nil
+		}
+		c := p.idle[last]
+		if !repeatable && now.Sub(c.since) > idleOnce {
+			p.mu.Unlock()
+			return nil
+		}
+		p.idle[last] = nil
+		p.idle = p.idle[:last]
+		p.mu.Unlock()
+		if now.Before(c.idleUntil) && c.r.Buffered() == 0 {
+			return c
+		}
+		_ = c.Close() // too old, or the target sent bytes that nobody asked for
+	}
+}
+
+func (p *Pool) put(now time.Time, c *conn) {
+	if c.SetDeadline(time.Time{}) != nil || c.r.Buffered() > 0 {
+		_ = c.Close()
+		return
+	}
+	c.since, c.idleUntil = now, now.Add(c.idleFor)
+	p.mu.Lock()
+	var old *conn
+	if len(p.idle) >= maxIdle {
+		old, p.idle = p.idle[0], p.idle[1:]
+	}
+	for len(p.idle) > 0 && now.After(p.idle[0].idleUntil) { // the front is idle for longest
+		_ = p.idle[0].Close()
+		p.idle = p.idle[1:]
+	}
+	p.idle = append(p.idle, c)
+	p.mu.Unlock()
+	if old != nil {
+		_ = old.Close()
+	}
+}
+
+func (p *Pool) dial(ctx context.Context) (*conn, error) {
+	p.dialed()
+	d := net.Dialer{Timeout: dialTimeout}
+	n, err := d.DialContext(ctx, "tcp", p.address)
+	if err != nil {
+		return nil, err
+	}
+	return &conn{Conn: n, r: bufio.NewReaderSize(n, readBuffer), idleFor: idleDefault}, nil
+}
+
+// Do sends a call to the lifetime of the target with this id. An error's outcome is not-executed only if the call
+// cannot run. The body of the reply must be closed.
+func (p *Pool) Do(ctx context.Context, c *mustardmast.TargetCall, lifetime string, deadline time.Time) (*mustardmast.TargetReply, error) {
+	now := time.Now()
+	cn := p.take(now, c.Repeatable)
+	reused := cn != nil
+	if cn == nil {
+		var err error
+		if cn, err = p.dial(ctx); err != nil {
+			if ctx.Err() != nil {
+				return nil, fault.Wrap(ctx.Err(), fault.Canceled, "before it was sent").WithOutcome(fault.NotExecuted)
+			}
+			return nil, fault.Wrap(err, fault.NotReady, "no connection to the target")
+		}
+	}
+	reply, err := p.exchange(ctx, cn, c, lifetime, deadline)
+	if err == nil || !reused || !c.Repeatable || c.Body != nil || ctx.Err() != nil {
+		return reply, err
+	}
+	if f := fault.From(err); f.Kind() != fault.TargetFailed || !isClosed(f) {
+		return reply, err
+	}
+	// The target closed the connection while it was idle, so the call goes on a new one.
+	if cn, err = p.dial(ctx); err != nil {
+		return nil, fault.Wrap(err, fault.TargetFailed, "no connection to the target")
+	}
+	return p.exchange(ctx, cn, c, lifetime, deadline)
+}
+
+// closedError marks a connection that ended before the first byte of an answer.
+type closedError struct{ error }
+
+func isClosed(f *fault.Error) bool {
+	var closed closedError
+	return errors.As(f.Unwrap(), &closed)
+}
+
+func (p *Pool) exchange(ctx context.Context, cn *conn, c *mustardmast.TargetCall, lifetime string, deadline time.Time) (*mustardmast.TargetReply, error) {
+	if err := cn.SetDeadline(deadline.Add(answerGrace)); err != nil {
+		_ = cn.Close()
+		return nil, fault.Wrap(err, fault.NotReady, "connection to the target")
+	}
+	stop := context.AfterFunc(ctx, func() { _ = cn.Close() })
+	body, err := p.send(cn, c, lifetime, time.Until(deadline))
+	if err != nil {
+		stop()
+		_ = cn.Close()
+		return nil, p.lost(ctx, err, "the call could not be sent")
+	}
+	resp, err := p.answer(cn, c)
+	if err != nil {
+		stop()
+		_ = cn.Close()
+		return nil, p.lost(ctx, err, "no answer of the target")
+	}
+	return p.reply(cn, resp, body, stop)
+}
+
+func (p *Pool) lost(ctx context.Context, err error, detail string) error {
+	if ctx.Err() != nil {
+		return fault.Wrap(ctx.Err(), fault.Canceled, detail)
+	}
+	var timeout net.Error
+	if errors.As(err, &timeout) && timeout.Timeout() {
+		return fault.Wrap(err, fault.DeadlineExceeded, detail)
+	}
+	return fault.Wrap(err, fault.TargetFailed, detail)
+}
+
+// upload tells how the sending of a body stands.
+type upload struct {
+	done chan struct{}
+	err  error
+}
+
+func (u *upload) complete() bool {
+	if u == nil {
+		return true
+	}
+	select {
+	case <-u.done:
+		return u.err == nil
+	default:
+		return false
+	}
+}
+
+func (p *Pool) send(cn *conn, c *mustardmast.TargetCall, lifetime string, left time.Duration) (*upload, error) {
+	var b bytes.Buffer
+	fmt.Fprintf(&b, "%s %s HTTP/1.1\r\nHost: %s\r\n", c.Method, c.URI, c.Host)
+	for name, values := range c.Header {
+		for _, v := range values {
+			b.WriteString(name + ": " + v + "\r\n")
+		}
+	}
+	b.WriteString(p.names.TimeLeft + ": " + strconv.FormatInt(max(1, left.Milliseconds()), 10) + "\r\n")
+	b.WriteString(p.names.Expected + ": " + lifetime + "\r\n")
+	switch {
+	case c.Body != nil && c.Length < 0:
+		b.WriteString("Transfer-Encoding: chunked\r\n")
+	case c.Body != nil || c.Method == http.MethodPost || c.Method == http.MethodPut || c.Method == http.MethodPatch:
+		b.WriteString("Content-Length: " + strconv.FormatInt(max(0, c.Length), 10) + "\r\n")
+	}
+	b.WriteString("\r\n")
+	if c.Body == nil || c.Length == 0 {
+		_, err := cn.Write(b.Bytes())
+		return nil, err
+	}
+	if c.Length > 0 && c.Length <= inlineBody {
+		if _, err := io.CopyN(&b, c.Body, c.Length); err != nil {
+			return nil, err
+		}
+		_, err := cn.Write(b.Bytes())
+		return nil, err
+	}
+	if _, err := cn.Write(b.Bytes()); err != nil {
+		return nil, err
+	}
+	u := &upload{done: make(chan struct{})}
+	go func() {
+		defer close(u.done)
+		if u.err = copyBody(cn, c); u.err != nil {
+			_ = cn.Close() // an incomplete body must not look complete
+		}
+	}()
+	return u, nil
+}
+
+func copyBody(cn *conn, c *mustardmast.TargetCall) error {
+	buffer := make([]byte, copyBuffer)
+	if c.Length >= 0 {
+		n, err := io.CopyBuffer(onlyWriter{cn}, io.LimitReader(c.Body, c.Length), buffer)
+		if err == nil && n < c.Length {
+			err = io.ErrUnexpectedEOF
+		}
+		return err
+	}
+	for {
+		n, err := c.Body.Read(buffer)
+		if n > 0 {
+			if _, err := fmt.Fprintf(cn, "%x\r\n%s\r\n", n, buffer[:n]); err != nil {
+				return err
+			}
+		}
+		if errors.Is(err, io.EOF) {
+			_, err = io.WriteString(cn, "0\r\n\r\n")
+			return err
+		}
+		if err != nil {
+			return err
+		}
+	}
+}
+
+// onlyWriter hides ReadFrom, so that the given buffer is used.
+type onlyWriter struct{ io.Writer }
+
+// answer reads the answer to a call. Answers to earlier calls on the connection are passed over.
+func (p *Pool) answer(cn *conn, c *mustardmast.TargetCall) (*http.Response, error) {
+	request := &http.Request{Method: c.Method}
+	for foreign := 0; foreign < mostForeign; {
+		if _, err := cn.r.Peek(1); err != nil {
+			return nil, closedError{err}
+		}
+		resp, err := http.ReadResponse(cn.r, request)
+		if err != nil {
+			return nil, err
+		}
+		if resp.StatusCode < http.StatusOK {
+			continue
+		}
+		id := resp.Header.Get(p.names.RequestID)
+		if id == c.ID || id == "" && p.notExecuted(resp) {
+			return resp, nil
+		}
+		if id == "" || resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
+			return nil, fmt.Errorf("answer to another request: %q", id)
+		}
+		foreign++
+		if _, err := io.Copy(io.Discard, resp.Body); err != nil {
+			return nil, err
+		}
+	}
+	return nil, fmt.Errorf("more than %d answers to other requests", mostForeign)
+}
+
+func (p *Pool) notExecuted(r *http.Response) bool {
+	return r.Header.Get(p.names.NotExecuted) != "" || r.StatusCode == http.StatusMisdirectedRequest
+}
+
+func (p *Pool) reply(cn *conn, resp *http.Response, u *upload, stop func() bool) (*mustardmast.TargetReply, error) {
+	cn.idleFor = idleTime(resp.Header.Get("Keep-Alive"))
+	body := &replyBody{pool: p, conn: cn, resp: resp, upload: u, stop: stop}
+	if p.notExecuted(resp) {
+		_, err := io.Copy(io.Discard, io.LimitReader(body, readBuffer))
+		_ = body.Close()
+		if err != nil && resp.StatusCode != http.StatusMisdirectedRequest {
+			// The head alone is the promise; the rest of the answer says nothing more.
+			resp.Header.Set("Connection", "close")
+		}
+		if resp.StatusCode == http.StatusMisdirectedRequest {
+			return nil, fault.New(fault.WrongIncarnation, "another lifetime has the address: "+resp.Header.Get(p.names.Lifetime))
+		}
+		return nil, fault.Newf(fault.TargetRefused, "status %d of the target", resp.StatusCode)
+	}
+	for _, name := range mustardmast.ConnectionFields {
+		resp.Header.Del(name)
+	}
+	return &mustardmast.TargetReply{Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength, Body: body}, nil
+}
+
+func idleTime(keepAlive string) time.Duration {
+	for _, p := range strings.Split(keepAlive, ",") {
+		name, value, _ := strings.Cut(strings.TrimSpace(p), "=")
+		if !strings.EqualFold(name, "timeout") {
+			continue
+		}
+		if n, err := strconv.Atoi(value); err == nil && n > 0 {
+			return max(time.Duration(n)*time.Second-idleMargin, time.Duration(n)*time.Second/2)
+		}
+	}
+	return idleDefault
+}
+
+// replyBody is the body of a reply. The connection goes back to the pool once it is read to its end.
+type replyBody struct {
+	pool   *Pool
+	conn   *conn
+	resp   *http.Response
+	upload *upload
+	stop   func() bool
+	ended  bool
+	closed bool
+}
+
+func (b *replyBody) Read(p []byte) (int, error) {
+	n, err := b.resp.Body.Read(p)
+	if err == io.EOF {
+		b.ended = true
+	}
+	return n, err
+}
+
+func (b *replyBody) Close() error {
+	if b.closed {
+		return nil
+	}
+	b.closed = true
+	if !b.ended && b.resp.ContentLength == 0 {
+		b.ended = true
+	}
+	open := b.stop() && b.ended && !b.resp.Close && b.upload.complete()
+	if b.resp.ContentLength < 0 && len(b.resp.TransferEncoding) == 0 {
+		open = false
+	}
+	if !open {
+		return b.conn.Close()
+	}
+	b.pool.put(time.Now(), b.conn)
+	return nil
+}
+
+// Probe asks the target for its lifetime and load on the health path.
+func (p *Pool) Probe(ctx context.Context, path string) (http.Header, error) {
+	cn, err := p.dial(ctx)
+	if err != nil {
+		return nil, fault.Wrap(err, fault.NotReady, "no connection to the target")
+	}
+	defer func() { _ = cn.Close() }() // a probe is rare, its connection is not kept
+	if deadline, ok := ctx.Deadline(); ok {
+		_ = cn.SetDeadline(deadline) // without it the read below fails instead
+	}
+	if _, err = fmt.Fprintf(cn, "GET %s HTTP/1.1\r\nHost: %s\r\nConnection: close\r\n\r\n", path, p.address); err != nil {
+		return nil, fault.Wrap(err, fault.TargetFailed, "probe")
+	}
+	resp, err := http.ReadResponse(cn.r, nil)
+	if err != nil {
+		return nil, fault.Wrap(err, fault.TargetFailed, "probe")
+	}
+	if resp.StatusCode != http.StatusOK {
+		return nil, fault.Newf(fault.NotReady, "probe: status %d", resp.StatusCode)
+	}
+	return resp.Header, nil
+}
