io/placement: give up a mute target for another, no blame for nested failures

Change: a repeatable call that takes seven times its usual duration goes to another target if the allowance grants it, and counts as a failure of the first. A 5xx of a run that made calls is no failure of its target. A call that was refused by as many targets as its route allows may be offered to the same targets again.

--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -260,6 +260,30 @@
 	Service string
 	Bulky   bool            // the request has a large body
 	Exclude map[string]bool // hosts that have turned it away
+	Only    map[string]bool // if not empty, no other hosts
+}
+
+func (c Choice) allows(host string) bool {
+	return !c.Exclude[host] && (len(c.Only) == 0 || c.Only[host])
+}
+
+// Expected returns how long a request to a service usually takes at a host, 0 if nothing is known of it.
+func (r *Roster) Expected(host string) time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if m := r.members[host]; m != nil && m.reported {
+		return m.report.Duration
+	}
+	return 0
+}
+
+// Mute takes the news that a host leaves a request without an answer for much longer than usual.
+func (r *Roster) Mute(host string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if m := r.members[host]; m != nil {
+		m.failing += failureWeight * (1 - m.failing)
+	}
 }
 
 // Choose returns the host with the lowest price for a request.
@@ -269,7 +293,7 @@
 	usual := r.usual(c.Service)
 	var candidates []*member
 	for _, m := range r.members {
-		if m.record.Service == c.Service && m.record.Ready && !m.down && !c.Exclude[m.record.Host] {
+		if m.record.Service == c.Service && m.record.Ready && !m.down && c.allows(m.record.Host) {
 			candidates = append(candidates, m)
 		}
 	}
@@ -297,7 +321,7 @@
 func (r *Roster) lastResort(now time.Time, c Choice) (Record, bool) {
 	var best *member
 	for _, m := range r.members {
-		if m.record.Service != c.Service || !m.down || c.Exclude[m.record.Host] || now.Before(m.retryAt) {
+		if m.record.Service != c.Service || !m.down || !c.allows(m.record.Host) || now.Before(m.retryAt) {
 			continue
 		}
 		if best == nil || m.retryAt.Before(best.retryAt) {
--- a/io/placement/placement.go
+++ b/io/placement/placement.go
@@ -10,6 +10,7 @@
 	"context"
 	"io"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"mustardmast"
@@ -21,8 +22,14 @@
 )
 
 const (
-	// mostPlaces bounds the nodes that one call is offered to.
-	mostPlaces = 4
+	// mostPlaces bounds the offers of one call to nodes.
+	mostPlaces = 5
+	// muteDurations is how many times its usual duration a repeatable call may take before another target is asked, and
+	// leastMute the least time. Noisy neighbours and cold starts stretch the duration by less.
+	muteDurations = 7
+	leastMute     = 180 * time.Millisecond
+	// mostMute is the part of the time left that may pass before that, so that there is time for the other one.
+	mostMute = 0.5
 	// wholeAnswer is the largest answer that is read to its end before any of it goes to the caller, so that a cut
 	// answer can be asked for again.
 	wholeAnswer = 256 << 10
@@ -34,6 +41,9 @@
 	calm = 0.05
 )
 
+// bulky is the size of a body above which traffic between failure domains counts more, in bytes.
+const bulky = 32 << 10
+
 // Observer is told of what happens to calls. Its methods must not block.
 type Observer interface {
 	// Placed is called for each offer to a node, with its outcome.
@@ -65,8 +75,9 @@
 	call    *mustardmast.TargetCall
 	body    func() io.Reader
 	met     func(level float64)
-	most    int // targets that the call may reach
-	reached int // targets that the call has reached
+	most    int             // targets that the call may reach
+	reached map[string]bool // hosts whose targets the call has reached
+	mute    atomic.Bool     // the present offer was given up for another target
 	mayRun  bool
 	offers  int
 	pauses  int
@@ -84,7 +95,7 @@
 	} else {
 		p.allowance.First(time.Now(), c.Service)
 	}
-	a := &attempt{placer: p, call: c, body: body, most: most, met: met, exclude: map[string]bool{}}
+	a := &attempt{placer: p, call: c, body: body, most: most, met: met, exclude: map[string]bool{}, reached: map[string]bool{}}
 	for {
 		host, ok := a.choose(ctx)
 		if !ok {
@@ -107,7 +118,7 @@
 // choose returns the next host. A call of a running request waits a little for one.
 func (a *attempt) choose(ctx context.Context) (roster.Record, bool) {
 	for {
-		host, ok := a.placer.roster.Choose(time.Now(), roster.Choice{Service: a.call.Service, Bulky: a.call.Length > wholeAnswer/8, Exclude: a.exclude})
+		host, ok := a.placer.roster.Choose(time.Now(), roster.Choice{Service: a.call.Service, Bulky: a.call.Length > bulky, Exclude: a.exclude, Only: a.only()})
 		if ok {
 			return host, true
 		}
@@ -134,6 +145,8 @@
 	if a.offers++; a.body != nil {
 		a.call.Body = a.body()
 	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer a.watch(cancel, host.Host)()
 	p.roster.Sent(began, host.Host)
 	defer p.roster.Ended(host.Host)
 	var reply *mustardmast.TargetReply
@@ -146,7 +159,9 @@
 		reply, report, reported, err = p.link.Execute(ctx, host.Address, a.call)
 	}
 	if err == nil {
-		reply, err = whole(ctx, reply)
+		reply, err = whole(ctx, reply, cancel)
+	} else {
+		cancel()
 	}
 	now, status := time.Now(), 0
 	if err == nil {
@@ -154,7 +169,7 @@
 	}
 	a.nested = reported && report.Nested
 	if reported {
-		p.roster.Replied(now, host.Host, report, err == nil || ran(err), status >= http.StatusInternalServerError || failed(err))
+		p.roster.Replied(now, host.Host, report, err == nil || ran(err), status >= http.StatusInternalServerError && !report.Nested || failed(err))
 		a.observe(now, report.Level)
 		if report.Version > a.call.Version {
 			p.observer.Behind(host.Host, report.Version)
@@ -164,12 +179,57 @@
 		p.observer.HostDown(host.Host, err)
 	}
 	p.observer.Placed(a.call, host.Host, status, err, now.Sub(began))
-	if err != nil {
-		a.exclude[host.Host] = true
+	if err != nil && a.mute.Load() {
+		p.roster.Mute(host.Host)
+		err = fault.Wrap(err, fault.TargetFailed, "no answer in time")
 	}
+	a.learn(host.Host, err)
 	return reply, err
 }
 
+// learn notes whether the call has reached the target of a host, and whether the host may be asked again.
+func (a *attempt) learn(host string, err error) {
+	if err == nil {
+		a.reached[host] = true
+		return
+	}
+	switch f := fault.From(err); {
+	case f.Kind() == fault.TargetRefused:
+		a.reached[host] = true // by chance it takes the call the next time
+	case f.Kind() == fault.WrongIncarnation || f.Outcome() != fault.NotExecuted:
+		a.reached[host], a.exclude[host] = true, true
+	default:
+		a.exclude[host] = true
+	}
+}
+
+// only is the hosts that are left once the call has reached as many targets as it may.
+func (a *attempt) only() map[string]bool {
+	if len(a.reached) >= a.most {
+		return a.reached
+	}
+	return nil
+}
+
+// watch ends an offer of a repeatable call that takes much longer than usual, if another target may be asked. The
+// function that it returns ends the watch.
+func (a *attempt) watch(cancel func(), host string) func() {
+	a.mute.Store(false)
+	usual := a.placer.roster.Expected(host)
+	patience := max(leastMute, muteDurations*usual)
+	if !a.call.Repeatable || a.body == nil || usual == 0 || len(a.reached) >= a.most-1 ||
+		patience > time.Duration(mostMute*float64(time.Until(a.call.Deadline))) {
+		return func() {}
+	}
+	timer := time.AfterFunc(patience, func() {
+		if a.granted(time.Now()) {
+			a.mute.Store(true)
+			cancel()
+		}
+	})
+	return func() { timer.Stop() }
+}
+
 // observe takes the level that the node beside a target told.
 func (a *attempt) observe(now time.Time, level float64) {
 	a.placer.levels.Observe(now, a.call.Route, level)
@@ -198,9 +258,10 @@
 
 func failed(err error) bool { return err != nil && ran(err) }
 
-// whole reads an answer to its end if it is not too large.
-func whole(ctx context.Context, r *mustardmast.TargetReply) (*mustardmast.TargetReply, error) {
+// whole reads an answer to its end if it is not too large. It calls done when nothing more is read from its target.
+func whole(ctx context.Context, r *mustardmast.TargetReply, done func()) (*mustardmast.TargetReply, error) {
 	if r.Length > wholeAnswer {
+		r.Body = &rest{Reader: r.Body, Closer: r.Body, done: done}
 		return r, nil
 	}
 	var b bytes.Buffer
@@ -210,15 +271,17 @@
 	n, err := b.ReadFrom(io.LimitReader(r.Body, wholeAnswer))
 	if err != nil {
 		_ = r.Body.Close() // the read has failed already
+		defer done()
 		if ctx.Err() != nil {
 			return nil, fault.Wrap(ctx.Err(), fault.DeadlineExceeded, "while the answer was read")
 		}
 		return nil, fault.Wrap(err, fault.AnswerCut, "the answer broke off")
 	}
 	if n == wholeAnswer {
-		r.Body = &rest{Reader: io.MultiReader(&b, r.Body), Closer: r.Body}
+		r.Body = &rest{Reader: io.MultiReader(&b, r.Body), Closer: r.Body, done: done}
 		return r, nil
 	}
+	defer done()
 	if err := r.Body.Close(); err != nil && r.Length > n {
 		return nil, fault.Wrap(err, fault.AnswerCut, "the answer broke off")
 	}
@@ -226,18 +289,24 @@
 	return r, nil
 }
 
-// rest is an answer whose start is in memory.
+// rest is an answer that is read from its target while it goes to the caller.
 type rest struct {
 	io.Reader
 	io.Closer
+	done func()
+}
+
+// Close ends the reading.
+func (r *rest) Close() error {
+	defer r.done()
+	return r.Closer.Close()
 }
 
 // again reports whether an answer that failed is worth another target.
 func (a *attempt) again(r *mustardmast.TargetReply) bool {
-	if r.Status < http.StatusInternalServerError || r.Status == http.StatusGatewayTimeout || !a.call.Repeatable {
+	if r.Status < http.StatusInternalServerError || r.Status == http.StatusGatewayTimeout || !a.call.Repeatable || len(a.reached) >= a.most {
 		return false
 	}
-	a.reached++
 	now := time.Now()
 	if a.nested {
 		return false // most likely one of its calls failed, and all of them would be made again
@@ -260,7 +329,6 @@
 	}
 	switch f.Kind() {
 	case fault.TargetRefused, fault.WrongIncarnation:
-		a.reached++
 		return a.repeat(time.Now())
 	case fault.Canceled, fault.DeadlineExceeded, fault.DeadlinePassed, fault.BadRequest:
 		a.mayRun = a.mayRun || f.Outcome() != fault.NotExecuted
@@ -270,19 +338,27 @@
 		return true
 	}
 	a.mayRun = true
-	a.reached++
-	return a.call.Repeatable && a.repeat(time.Now())
+	if a.mute.Load() {
+		a.call.Repeat = true // the allowance has granted it already
+		return true
+	}
+	return a.call.Repeatable && len(a.reached) < a.most && a.repeat(time.Now())
 }
 
 // repeat asks for one more target after one that the call has reached.
 func (a *attempt) repeat(now time.Time) bool {
-	if a.reached >= a.most || a.call.Deadline.Sub(now) <= innerPause || !a.placer.allowance.Take(now, a.call.Service, a.placer.roster.Size()) {
+	if a.call.Deadline.Sub(now) <= innerPause || !a.granted(now) {
 		return false
 	}
 	a.call.Repeat = true
 	return true
 }
 
+// granted takes one repeat from the allowance of all nodes.
+func (a *attempt) granted(now time.Time) bool {
+	return a.placer.allowance.Take(now, a.call.Service, a.placer.roster.Size())
+}
+
 // result is the answer that failed, or the last error with what is known of all attempts.
 func (a *attempt) result() (*mustardmast.TargetReply, error) {
 	if a.kept != nil {
