core/intake: the level follows from the demand before shedding

Cause: the level was an integral controller on the target's occupancy.

Change: each request carries the share of its kind that its entry let through, so a node knows the demand before any shedding and computes the level that fills its slots, without feedback. A small share of each kind is always let through, which keeps the demand known. A caller that comes back is three times as likely to be let through. A mute target is given up only if another one is there, and a wait for a slot does not count.

--- a/core/intake/intake.go
+++ b/core/intake/intake.go
@@ -1,5 +1,10 @@
 // Package intake decides which requests run on a target, which wait for it, and which are turned away.
 //
+// The intake also computes the level at which the entry nodes should shed. Each request tells the share of its kind that
+// the entry let through, so the demand before any shedding is known, and the level follows from it without feedback: a
+// controller that moved the level by the target's occupancy would act on what it told some hundred milliseconds ago, and
+// shed far too much in turn with too little.
+//
 // A target runs a fixed number of requests at once. While all its slots are taken, calls of requests that already run
 // elsewhere wait first, then requests by priority; among equals those of callers that come back go first. A request is
 // turned away at once if it would wait longer than it can afford, so that its caller may go elsewhere in time.
@@ -7,6 +12,7 @@
 
 import (
 	"container/heap"
+	"math"
 	"sync"
 	"time"
 )
@@ -21,13 +27,14 @@
 	// cold is how much longer work takes on a target that has just started.
 	cold = 2
 
-	// The level follows the occupancy, the requests running and waiting over the limit, by an integral controller.
+	// goalLoad is the part of the slots that the level leaves the entry nodes to fill. The rest, and the queue, take in
+	// what varies from one moment to the next.
+	goalLoad = 0.95
+	// levelPeriod is how often the level is computed, from demand that is a mean with this weight for the last period.
 	levelPeriod  = 100 * time.Millisecond
-	goalLoad     = 0.92 // occupancy that the level steers to
-	levelGain    = 0.3  // change of level in one period for each unit of occupancy off the goal
-	largestError = 0.6  // bounds one step up
-	mostIdle     = 0.25 // bounds one step down
-	mostLevel    = 3
+	demandWeight = 0.35
+	// ranks is how many importances are told apart.
+	ranks = 4
 )
 
 // Request is what the decision depends on.
@@ -35,6 +42,8 @@
 	Inner    bool          // a call of a request that runs elsewhere
 	Priority int           // 0 is the most important
 	Returned bool          // its caller was turned away before
+	Rank     int           // steps of importance above the least important requests
+	Kept     float64       // share of such requests that the entry let through, above 0
 	Hold     time.Duration // longest wait that it can afford
 }
 
@@ -51,6 +60,21 @@
 // Started is closed when a request that waited may run.
 func (t *Ticket) Started() <-chan struct{} { return t.wake }
 
+// class is the requests of one rank, calls of running requests apart from others.
+type class struct {
+	service time.Duration // mean time of a run
+	arrived float64       // requests of the present period, before any shedding
+	demand  float64       // the same in a second, as a mean over periods
+}
+
+func (r Request) class() int {
+	c := 2 * min(ranks-1, max(0, r.Rank))
+	if r.Inner {
+		c++
+	}
+	return c
+}
+
 // Intake is the admission in front of one target. Its methods may be called concurrently.
 type Intake struct {
 	mu      sync.Mutex
@@ -59,14 +83,19 @@
 	queue   queue
 	order   uint64
 	service time.Duration
+	classes [2 * ranks]class
 	level   float64
-	load    float64 // sum of the occupancy over the samples of the period
-	samples int
-	period  time.Time
+	period  time.Time // start of the present one
 }
 
 // New returns an intake for a target of which nothing is known yet.
-func New() *Intake { return &Intake{slots: 1, service: initialService} }
+func New() *Intake {
+	i := &Intake{slots: 1, service: initialService}
+	for c := range i.classes {
+		i.classes[c].service = initialService
+	}
+	return i
+}
 
 // SetSlots sets how many requests the target runs at once.
 func (i *Intake) SetSlots(now time.Time, slots int) {
@@ -90,7 +119,8 @@
 func (i *Intake) Enter(now time.Time, r Request) (t *Ticket, wait time.Duration) {
 	i.mu.Lock()
 	defer i.mu.Unlock()
-	i.sample(now)
+	i.turn(now)
+	i.classes[r.class()].arrived += 1 / r.Kept
 	i.order++
 	t = &Ticket{request: r, order: i.order, index: -1, entered: now}
 	if i.running < i.slots {
@@ -135,10 +165,12 @@
 	defer i.mu.Unlock()
 	i.running--
 	if counted {
-		i.service += time.Duration(serviceWeight * float64(now.Sub(t.started)-i.service))
+		took := now.Sub(t.started)
+		i.service += time.Duration(serviceWeight * float64(took-i.service))
+		c := &i.classes[t.request.class()]
+		c.service += time.Duration(serviceWeight * float64(took-c.service))
 	}
 	i.startNext(now)
-	i.sample(now)
 }
 
 func (i *Intake) startNext(now time.Time) {
@@ -150,21 +182,42 @@
 	}
 }
 
-// sample moves the level by what the occupancy has been.
-func (i *Intake) sample(now time.Time) {
-	i.load += float64(i.running+len(i.queue)) / float64(i.slots)
-	i.samples++
+// turn ends a period and computes the level anew.
+func (i *Intake) turn(now time.Time) {
 	elapsed := now.Sub(i.period)
 	if elapsed < levelPeriod {
 		return
 	}
-	off := i.load/float64(i.samples) - goalLoad
-	step := min(largestError, max(-mostIdle, off)) * levelGain
-	if elapsed > 2*levelPeriod && step < 0 {
-		step *= min(10, float64(elapsed)/float64(levelPeriod))
+	periods := min(100, float64(elapsed)/float64(levelPeriod))
+	kept := math.Pow(1-demandWeight, periods) // of the mean so far
+	for c := range i.classes {
+		v := &i.classes[c]
+		v.demand = kept*v.demand + (1-kept)*v.arrived/elapsed.Seconds()
+		v.arrived = 0
 	}
-	i.level = min(mostLevel, max(0, i.level+step))
-	i.load, i.samples, i.period = 0, 0, now
+	i.period = now
+	i.level = i.shedding()
+}
+
+// shedding is the level at which what is left of the demand fills the slots to the goal.
+func (i *Intake) shedding() float64 {
+	var work [ranks]float64 // slots that each rank would fill
+	total := 0.0
+	for c, v := range i.classes {
+		w := v.demand * v.service.Seconds()
+		work[c/2] += w
+		total += w
+	}
+	excess := total - goalLoad*float64(i.slots)
+	level := 0.0
+	for r := 0; r < ranks && excess > 0; r++ {
+		if work[r] >= excess {
+			return level + excess/work[r]
+		}
+		excess -= work[r]
+		level++
+	}
+	return level
 }
 
 // Report is the state of an intake.
@@ -178,9 +231,7 @@
 func (i *Intake) Report(now time.Time) Report {
 	i.mu.Lock()
 	defer i.mu.Unlock()
-	if now.Sub(i.period) > 2*levelPeriod {
-		i.sample(now)
-	}
+	i.turn(now)
 	return Report{Limit: i.slots, Running: i.running, Waiting: len(i.queue), Service: i.service, Level: i.level}
 }
 
--- a/core/pressure/pressure.go
+++ b/core/pressure/pressure.go
@@ -64,8 +64,11 @@
 	return max(0, e.level*(1-float64(age)/float64(fading)))
 }
 
-// Sheds reports whether a request is turned away at this level. Draw is a number from 0 to 1, the same chance for each
-// request of a priority; least is the number of the least important priority.
-func Sheds(level float64, priority, least int, draw float64) bool {
-	return float64(least-priority)+draw < level
+// leastKept is the share of each importance that is let through at any level, so that the demand stays known.
+const leastKept = 0.03
+
+// Kept is the share of the requests of a rank that are let through at this level. A rank is the steps of importance above
+// the least important requests.
+func Kept(level float64, rank int) float64 {
+	return min(1, max(leastKept, float64(rank)+1-level))
 }
--- a/io/hostlink/codec.go
+++ b/io/hostlink/codec.go
@@ -21,6 +21,8 @@
 	fieldEntry      = prefix + "Entry"
 	fieldVersion    = prefix + "Version"
 	fieldPriority   = prefix + "Priority"
+	fieldRank       = prefix + "Rank"
+	fieldKept       = prefix + "Kept"
 	fieldFlags      = prefix + "Flags"
 	fieldTimeLeft   = prefix + "Time-Left-Us"
 	fieldHold       = prefix + "Hold-Us"
@@ -63,6 +65,8 @@
 	h[fieldEntry] = []string{c.Entry}
 	h[fieldVersion] = []string{strconv.FormatUint(c.Version, 10)}
 	h[fieldPriority] = []string{strconv.Itoa(c.Priority)}
+	h[fieldRank] = []string{strconv.Itoa(c.Rank)}
+	h[fieldKept] = []string{strconv.Itoa(int(max(1, c.Kept*keptScale)))}
 	h[fieldFlags] = []string{strconv.Itoa(flags)}
 	h[fieldTimeLeft] = []string{micros(c.Deadline.Sub(now))}
 	h[fieldHold] = []string{micros(c.Hold)}
@@ -83,6 +87,7 @@
 		ID: r.Header.Get(fieldCallID), Service: r.Header.Get(fieldService), Route: r.Header.Get(fieldRoute),
 		Entry: r.Header.Get(fieldEntry), Method: r.Header.Get(fieldMethod), URI: r.RequestURI, Host: r.Host,
 		Version: uint64(d.number(fieldVersion)), Priority: int(d.number(fieldPriority)),
+		Rank: int(d.number(fieldRank)), Kept: float64(max(1, d.number(fieldKept))) / keptScale,
 		Repeatable: flags&flagRepeatable != 0, Inner: flags&flagInner != 0, Returned: flags&flagReturned != 0, Repeat: flags&flagRepeat != 0,
 		Deadline: now.Add(time.Duration(d.number(fieldTimeLeft)) * time.Microsecond),
 		Hold:     time.Duration(d.number(fieldHold)) * time.Microsecond,
@@ -136,6 +141,9 @@
 	return string(b) + r.Service
 }
 
+// keptScale is in which parts the share of requests let through is sent.
+const keptScale = 1000
+
 // levelScale is in which parts a level is sent.
 const levelScale = 1000
 
--- a/io/ingress/ingress.go
+++ b/io/ingress/ingress.go
@@ -44,6 +44,8 @@
 	returnFrom, returnTo = 0.3, 0.5
 	mostReturn           = 1.0 / 3
 	leastReturn          = 20 * time.Millisecond
+	// returnedKept multiplies the share that is let through for callers that come back.
+	returnedKept = 3
 	// answerMargin is taken off the route's timeout, so that the answer is out by then.
 	answerMargin = 5 * time.Millisecond
 )
@@ -172,7 +174,7 @@
 	c := &mustardmast.TargetCall{
 		ID: r.Header.Get(h.parts.Names.RequestID), Service: route.Next(), Route: route.Key(), Version: t.Version(), Entry: h.parts.Host,
 		Method: r.Method, URI: r.RequestURI, Host: r.Host, Header: h.forwarded(r.Header), Length: r.ContentLength,
-		Priority: route.Priority(), Repeatable: route.Kind().Repeatable(),
+		Priority: route.Priority(), Rank: t.LeastPriority() - route.Priority(), Kept: 1, Repeatable: route.Kind().Repeatable(),
 		Deadline: now.Add(min(left, route.Timeout()-answerMargin)),
 	}
 	if !strings.HasPrefix(c.URI, "/") {
@@ -180,6 +182,7 @@
 	}
 	if q.run = h.parts.Runs.Caller(c.ID); q.run != nil {
 		c.Inner, c.Priority, c.Repeat = true, q.run.Priority(), q.run.Repeat()
+		c.Rank, c.Kept = q.run.Rank()
 		c.Hold = time.Duration(innerHold * float64(c.Deadline.Sub(now)))
 	} else {
 		q.key = returning.Key(r.Host, c.URI, r.ContentLength)
@@ -254,13 +257,12 @@
 // place sheds a request or takes it to a target.
 func (h *Handler) place(ctx context.Context, q *request) (*mustardmast.TargetReply, error) {
 	if !q.call.Inner {
-		now := time.Now()
-		level := h.parts.Levels.Level(now, q.call.Route)
-		draw := 1.0
-		if !q.call.Returned {
-			draw = rand.Float64()
+		level := h.parts.Levels.Level(time.Now(), q.call.Route)
+		kept := pressure.Kept(level, q.call.Rank)
+		if q.call.Returned {
+			kept = min(1, returnedKept*kept)
 		}
-		if pressure.Sheds(level, q.call.Priority, h.parts.Table().LeastPriority(), draw) {
+		if q.call.Kept = kept; rand.Float64() >= kept {
 			return nil, fault.Newf(fault.Shed, "level %.2f of %q", level, q.call.Route)
 		}
 	}
--- a/io/localtarget/localtarget.go
+++ b/io/localtarget/localtarget.go
@@ -59,6 +59,8 @@
 // Run is a call that runs on the target.
 type Run struct {
 	priority int
+	rank     int
+	kept     float64
 	repeat   bool
 	nested   atomic.Bool
 	level    atomic.Int64 // highest shedding level that its own calls met, in thousandths
@@ -67,6 +69,10 @@
 // Priority is that of the request at the top of the chain.
 func (r *Run) Priority() int { return r.priority }
 
+// Rank is the steps of importance of that request above the least important ones, and the share of such requests that
+// were let through where it entered.
+func (r *Run) Rank() (rank int, kept float64) { return r.rank, r.kept }
+
 // Repeat reports whether another target has been sent the same call before.
 func (r *Run) Repeat() bool { return r.repeat }
 
@@ -123,7 +129,7 @@
 // Execute implements mustardmast.Executor.
 func (e *Executor) Execute(ctx context.Context, c *mustardmast.TargetCall) (*mustardmast.TargetReply, mustardmast.TargetReport, error) {
 	e.active.Add(1)
-	run := &Run{priority: c.Priority, repeat: c.Repeat}
+	run := &Run{priority: c.Priority, rank: c.Rank, kept: c.Kept, repeat: c.Repeat}
 	reply, err := e.execute(ctx, c, run)
 	if err != nil {
 		e.active.Add(-1)
@@ -188,7 +194,7 @@
 	if c.Deadline.Sub(now) < leastTime {
 		return nil, fault.New(fault.DeadlinePassed, "no time is left")
 	}
-	ticket, wait := e.intake.Enter(now, intake.Request{Inner: c.Inner, Priority: c.Priority, Returned: c.Returned, Hold: c.Hold})
+	ticket, wait := e.intake.Enter(now, intake.Request{Inner: c.Inner, Priority: c.Priority, Returned: c.Returned, Rank: c.Rank, Kept: c.Kept, Hold: c.Hold})
 	if ticket == nil {
 		return nil, fault.Newf(fault.QueueFull, "would wait %v of at most %v", wait, c.Hold).WithRetryAfter(wait)
 	}
--- /dev/null
+++ b/io/localtarget/localtarget_test.go
@@ -0,0 +1,225 @@
+package localtarget_test
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"mustardmast"
+	"mustardmast/core/fault"
+	"mustardmast/core/intake"
+	"mustardmast/core/lifetime"
+	"mustardmast/io/localtarget"
+	"mustardmast/io/targetconn"
+)
+
+var names = mustardmast.HeaderNames{RequestID: "Request-Id", TimeLeft: "Time-Left", Expected: "Expected", NotExecuted: "Refused", Lifetime: "Lifetime"}
+
+type silent struct{}
+
+func (silent) Turned(*mustardmast.TargetCall, error, intake.Report, lifetime.Target) {}
+func (silent) Ran(*mustardmast.TargetCall, time.Duration, time.Duration, error, lifetime.Target) {
+}
+func (silent) TargetLost(string, error) {}
+
+// fixture is an executor in front of a stand-in with room for one call.
+type fixture struct {
+	*localtarget.Executor
+	tracker *lifetime.Tracker
+	intake  *intake.Intake
+	address netip.AddrPort
+	release chan struct{} // each value lets one run end
+
+	mu   sync.Mutex
+	runs []string
+}
+
+func newFixture(t *testing.T) *fixture {
+	t.Helper()
+	f := &fixture{release: make(chan struct{}, 100), intake: intake.New()}
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		f.mu.Lock()
+		f.runs = append(f.runs, r.Header.Get("Request-Id"))
+		f.mu.Unlock()
+		select {
+		case <-f.release:
+		case <-r.Context().Done():
+		}
+		w.Header().Set("Request-Id", r.Header.Get("Request-Id"))
+		_, _ = io.WriteString(w, "done")
+	}))
+	t.Cleanup(s.Close)
+	f.address = netip.MustParseAddrPort(s.Listener.Addr().String())
+	f.tracker = lifetime.New(f.address)
+	f.announce("i-1", 1000, false)
+	f.intake.SetSlots(time.Now(), 1)
+	f.Executor = localtarget.New(f.tracker, f.intake, targetconn.New(f.address.String(), names, func() {}), silent{}, func() uint64 { return 7 })
+	return f
+}
+
+func (f *fixture) announce(id string, started int64, leaving bool) {
+	f.tracker.Announce(time.Now(), lifetime.Announcement{ID: id, Service: "watch", Address: f.address, Slots: 1, Sequence: time.Now().UnixNano(), StartedMS: started, Draining: leaving})
+}
+
+func (f *fixture) ran() []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return append([]string(nil), f.runs...)
+}
+
+func call(id string) *mustardmast.TargetCall {
+	return &mustardmast.TargetCall{ID: id, Service: "watch", Method: "POST", URI: "/", Host: "h", Header: http.Header{"Request-Id": {id}},
+		Deadline: time.Now().Add(3 * time.Second), Hold: time.Second}
+}
+
+// run executes a call to its end.
+func (f *fixture) run(ctx context.Context, c *mustardmast.TargetCall) error {
+	reply, _, err := f.Execute(ctx, c)
+	if err != nil {
+		return err
+	}
+	_, err = io.ReadAll(reply.Body)
+	_ = reply.Body.Close()
+	return err
+}
+
+func eventually(t *testing.T, ok func() bool) {
+	t.Helper()
+	for range 400 {
+		if ok() {
+			return
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+	t.Fatal("not within 2 s")
+}
+
+// Guards against a call that must not repeat being started twice, for example when a connection between nodes delivers
+// it after its sender has given up.
+func TestAnIDStartsOnce(t *testing.T) {
+	f := newFixture(t)
+	f.release <- struct{}{}
+	f.release <- struct{}{}
+	assert.NilError(t, f.run(context.Background(), call("a")))
+	err := f.run(context.Background(), call("a"))
+	assert.Equal(t, fault.From(err).Outcome(), fault.Unknown)
+	assert.DeepEqual(t, f.ran(), []string{"a"})
+	again := call("b")
+	again.Repeatable = true
+	f.release <- struct{}{}
+	assert.NilError(t, f.run(context.Background(), again))
+	assert.NilError(t, f.run(context.Background(), again))
+}
+
+// Guards against a waiting call that starts after its caller was told that it has not run.
+func TestACallThatIsGivenUpWhileItWaitsDoesNotRun(t *testing.T) {
+	f := newFixture(t)
+	done := make(chan error, 1)
+	go func() { done <- f.run(context.Background(), call("first")) }()
+	eventually(t, func() bool { return len(f.ran()) == 1 })
+	ctx, cancel := context.WithCancel(context.Background())
+	time.AfterFunc(30*time.Millisecond, cancel)
+	err := f.run(ctx, call("second"))
+	assert.Equal(t, fault.From(err).Kind(), fault.Canceled)
+	late := call("third")
+	late.Hold = 20 * time.Millisecond
+	err = f.run(context.Background(), late)
+	assert.Equal(t, fault.From(err).Kind(), fault.QueueFull)
+	assert.Equal(t, fault.From(err).Outcome(), fault.NotExecuted)
+	f.release <- struct{}{}
+	assert.NilError(t, <-done)
+	f.release <- struct{}{}
+	assert.NilError(t, f.run(context.Background(), call("fourth")))
+	assert.DeepEqual(t, f.ran(), []string{"first", "fourth"})
+	assert.Equal(t, f.Active(), int64(0))
+}
+
+// Guards against a run that must not repeat being cut because its caller has left, and one that may repeat going on.
+func TestCallersThatLeave(t *testing.T) {
+	for _, repeatable := range []bool{false, true} {
+		f := newFixture(t)
+		c := call("a")
+		c.Repeatable = repeatable
+		ctx, cancel := context.WithCancel(context.Background())
+		done := make(chan error, 1)
+		go func() { done <- f.run(ctx, c) }()
+		eventually(t, func() bool { return len(f.ran()) == 1 })
+		cancel()
+		if repeatable {
+			assert.Assert(t, <-done != nil)
+			continue
+		}
+		time.Sleep(50 * time.Millisecond)
+		f.release <- struct{}{}
+		assert.NilError(t, <-done)
+	}
+}
+
+// Guards against a call for a lifetime, a service or a moment that the target is not there for.
+func TestWhatIsTurnedAway(t *testing.T) {
+	for name, change := range map[string]func(*fixture, *mustardmast.TargetCall){
+		"leaving":       func(f *fixture, _ *mustardmast.TargetCall) { f.announce("i-1", 1000, true) },
+		"gone":          func(f *fixture, _ *mustardmast.TargetCall) { f.tracker.Leave("i-1") },
+		"node leaves":   func(f *fixture, _ *mustardmast.TargetCall) { f.Leave() },
+		"other service": func(_ *fixture, c *mustardmast.TargetCall) { c.Service = "board" },
+		"no time":       func(_ *fixture, c *mustardmast.TargetCall) { c.Deadline = time.Now() },
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t)
+			c := call("a")
+			change(f, c)
+			err := f.run(context.Background(), c)
+			assert.Assert(t, err != nil)
+			assert.Equal(t, fault.From(err).Outcome(), fault.NotExecuted)
+			assert.Equal(t, len(f.ran()), 0)
+		})
+	}
+}
+
+// Guards against a call that waited for one lifetime and starts on the next one.
+func TestALifetimeThatIsReplacedWhileACallWaits(t *testing.T) {
+	f := newFixture(t)
+	go func() { _ = f.run(context.Background(), call("first")) }()
+	eventually(t, func() bool { return len(f.ran()) == 1 })
+	done := make(chan error, 1)
+	go func() { done <- f.run(context.Background(), call("second")) }()
+	eventually(t, func() bool { return f.intake.Report(time.Now()).Waiting == 1 })
+	f.announce("i-2", 2000, false)
+	f.release <- struct{}{}
+	err := <-done
+	assert.Equal(t, fault.From(err).Outcome(), fault.NotExecuted)
+	assert.DeepEqual(t, f.ran(), []string{"first"})
+}
+
+// Guards against calls of a run that are not known as such, and against a client's request that passes for one.
+func TestCallsOfARun(t *testing.T) {
+	f := newFixture(t)
+	c := call("a")
+	c.Priority, c.Repeat = 2, true
+	done := make(chan mustardmast.TargetReport, 1)
+	go func() {
+		reply, report, err := f.Execute(context.Background(), c)
+		if err == nil {
+			_ = reply.Body.Close()
+		}
+		done <- report
+	}()
+	eventually(t, func() bool { return len(f.ran()) == 1 })
+	assert.Assert(t, f.Caller("a") == nil && f.Caller("b.c") == nil)
+	run := f.Caller("a.b")
+	assert.Assert(t, run != nil && run.Priority() == 2 && run.Repeat())
+	run.Met(0.7)
+	run.Met(0.4)
+	f.release <- struct{}{}
+	report := <-done
+	assert.Equal(t, report.Level, 0.7)
+	assert.Assert(t, report.Nested)
+	eventually(t, func() bool { return f.Caller("a.b") == nil })
+}
--- a/io/placement/placement.go
+++ b/io/placement/placement.go
@@ -24,8 +24,8 @@
 const (
 	// mostPlaces bounds the offers of one call to nodes.
 	mostPlaces = 5
-	// muteDurations is how many times its usual duration a repeatable call may take before another target is asked, and
-	// leastMute the least time. Noisy neighbours and cold starts stretch the duration by less.
+	// muteDurations is how many times its usual duration a repeatable call may take, beside its wait for a slot, before
+	// another target is asked, and leastMute the least time. Noisy neighbours and cold starts stretch the duration by less.
 	muteDurations = 7
 	leastMute     = 180 * time.Millisecond
 	// mostMute is the part of the time left that may pass before that, so that there is time for the other one.
@@ -216,13 +216,14 @@
 func (a *attempt) watch(cancel func(), host string) func() {
 	a.mute.Store(false)
 	usual := a.placer.roster.Expected(host)
-	patience := max(leastMute, muteDurations*usual)
+	patience := max(leastMute, muteDurations*usual+a.call.Hold)
 	if !a.call.Repeatable || a.body == nil || usual == 0 || len(a.reached) >= a.most-1 ||
 		patience > time.Duration(mostMute*float64(time.Until(a.call.Deadline))) {
 		return func() {}
 	}
 	timer := time.AfterFunc(patience, func() {
-		if a.granted(time.Now()) {
+		other := roster.Choice{Service: a.call.Service, Exclude: map[string]bool{host: true}}
+		if _, ok := a.placer.roster.Choose(time.Now(), other); ok && a.granted(time.Now()) {
 			a.mute.Store(true)
 			cancel()
 		}
--- /dev/null
+++ b/sidecar/load_test.go
@@ -0,0 +1,85 @@
+package sidecar_test
+
+import (
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// Replays a burst of less important requests at three times the capacity of the service's one target, with important ones
+// among them. Guards against important requests that fail or wait behind the others, against refusals that come late, and
+// against a refusal without a time to return.
+func TestABurstOfLessImportantRequests(t *testing.T) {
+	const work, length, gap = 50 * time.Millisecond, 3 * time.Second, 900 * time.Microsecond
+	c := newCluster(t)
+	c.configure(3, rule("/board/", "idempotent", 2, "ledger", 2), rule("/ledger/", "non_idempotent", 0, "ledger", 2))
+	entry, ledger := c.add("board", "a"), c.add("ledger", "a")
+	ledger.target.answer(func(w http.ResponseWriter, _ *http.Request) {
+		time.Sleep(work)
+		_, _ = io.WriteString(w, "done")
+	})
+	eventually(t, 2*time.Second, func() bool {
+		_, resp, _ := entry.send("GET", "/board/", nil, nil)
+		return resp.StatusCode == http.StatusOK
+	})
+	var important, importantServed, served, refused, late, withoutTime atomic.Int64
+	var wg sync.WaitGroup
+	began := time.Now()
+	for n := 0; time.Since(began) < length; n++ {
+		wg.Go(func() {
+			sent := time.Now()
+			if n%12 == 0 {
+				important.Add(1)
+				if _, resp, _ := entry.send("POST", "/ledger/", nil, strings.NewReader("x")); resp.StatusCode == http.StatusOK {
+					importantServed.Add(1)
+				}
+				return
+			}
+			_, resp, _ := entry.send("GET", "/board/", nil, nil)
+			switch resp.StatusCode {
+			case http.StatusOK:
+				served.Add(1)
+			case http.StatusServiceUnavailable:
+				refused.Add(1)
+				if resp.Header.Get("Retry-After") == "" {
+					withoutTime.Add(1)
+				}
+				if time.Since(sent) > 700*time.Millisecond {
+					late.Add(1)
+				}
+			}
+		})
+		time.Sleep(gap)
+	}
+	wg.Wait()
+	capacity := int64(18 * time.Since(began) / work)
+	assert.Assert(t, importantServed.Load() >= important.Load()*98/100, "%d of %d", importantServed.Load(), important.Load())
+	assert.Assert(t, served.Load()+importantServed.Load() > capacity*7/10, "%d of %d", served.Load()+importantServed.Load(), capacity)
+	assert.Assert(t, refused.Load() > 0 && withoutTime.Load() == 0, "%d refused, %d without a time", refused.Load(), withoutTime.Load())
+	assert.Assert(t, late.Load() <= refused.Load()/50, "%d of %d refusals came late", late.Load(), refused.Load())
+}
+
+// Guards against a target that answers nothing holding repeatable requests until their deadline while another target
+// has room.
+func TestAMuteTargetIsGivenUpForAnother(t *testing.T) {
+	c := newCluster(t)
+	entry, mute, well := c.add("ledger", "a"), c.add("board", "a"), c.add("board", "a")
+	for range 40 { // until the node knows how long requests take
+		_, resp, _ := entry.send("GET", "/board/", nil, nil)
+		assert.Equal(t, resp.StatusCode, http.StatusOK)
+	}
+	mute.target.answer(func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() })
+	for range 30 {
+		began := time.Now()
+		_, resp, got := entry.send("GET", "/board/", nil, nil)
+		assert.Equal(t, resp.StatusCode, http.StatusOK)
+		assert.Equal(t, got, "from "+well.ip)
+		assert.Assert(t, time.Since(began) < time.Second)
+	}
+}
