core/allowance: repeats go to few whole requests, the important ones first

Cause: while all targets of a service refuse a part of what they get, more repeats are asked for than all nodes together may send. Spread over all calls they serve almost no request whose calls fan out, since each of its calls must be served.

Change: the allowance is split by demand: requests by importance and a hash of their id, the same on all nodes, up to as many as can have all repeats that they need.

--- a/io/placement/placement.go
+++ b/io/placement/placement.go
@@ -83,6 +83,7 @@
 	pauses  int
 	exclude map[string]bool
 	last    error
+	asked   bool                     // the allowance has been asked for a repeat
 	nested  bool                     // the last run made calls of its own
 	kept    *mustardmast.TargetReply // an answer that failed, given if no other target answers
 }
@@ -357,7 +358,9 @@
 
 // granted takes one repeat from the allowance of all nodes.
 func (a *attempt) granted(now time.Time) bool {
-	return a.placer.allowance.Take(now, a.call.Service, a.placer.roster.Size())
+	r := allowance.Repeat{Standing: allowance.Standing(a.call.Priority, a.call.ID), Again: a.asked}
+	a.asked = true
+	return a.placer.allowance.Take(now, a.call.Service, a.placer.roster.Size(), r)
 }
 
 // result is the answer that failed, or the last error with what is known of all attempts.
