io/decisions: log what a choice was made by, and how old it was

A line for an offer now has the running and waiting calls and the limit that the chosen host had reported, and the age of that report; a request shed at its entry has the level, its age and the share let through. Offers that were served are logged too, within a rate of their own.

--- a/core/pressure/pressure.go
+++ b/core/pressure/pressure.go
@@ -64,6 +64,17 @@
 	return max(0, e.level*(1-float64(age)/float64(fading)))
 }
 
+// Age returns how old the news of a route's level is, 0 if there is none.
+func (l *Levels) Age(now time.Time, route string) time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	e, ok := l.routes[route]
+	if !ok {
+		return 0
+	}
+	return now.Sub(e.seen)
+}
+
 // leastKept is the share of each importance that is let through at any level, so that the demand stays known.
 const leastKept = 0.03
 
--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -65,6 +65,7 @@
 	record      Record
 	report      mustardmast.TargetReport
 	reported    bool
+	reportedAt  time.Time
 	outstanding int
 	oldest      time.Time // since when replies are due; zero while none is outstanding
 	failing     float64
@@ -199,7 +200,7 @@
 	if m == nil {
 		return
 	}
-	m.report, m.reported, m.oldest = report, true, now
+	m.report, m.reported, m.reportedAt, m.oldest = report, true, now, now
 	m.down, m.pause = false, 0
 	m.record.Ready = report.Ready
 	if report.Service != "" {
@@ -267,7 +268,18 @@
 	return !c.Exclude[host] && (len(c.Only) == 0 || c.Only[host])
 }
 
-// Expected returns how long a request to a service usually takes at a host, 0 if nothing is known of it.
+// News returns the last report of a host and its age; false if there is none.
+func (r *Roster) News(now time.Time, host string) (report mustardmast.TargetReport, age time.Duration, ok bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	m := r.members[host]
+	if m == nil || !m.reported {
+		return mustardmast.TargetReport{}, 0, false
+	}
+	return m.report, now.Sub(m.reportedAt), true
+}
+
+// Expected returns how long a request usually takes at a host, 0 if nothing is known of it.
 func (r *Roster) Expected(host string) time.Duration {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/execution.go
+++ b/execution.go
@@ -22,8 +22,8 @@
 	Length   int64       // of the body; -1 if it is not known
 	Priority int         // of the request at the top of the chain; 0 is the most important
 
-	Rank     int         // steps of importance of that request above the least important ones
-	Kept     float64     // share of such requests that were let through where it entered
+	Rank int     // steps of importance of that request above the least important ones
+	Kept float64 // share of such requests that were let through where it entered
 
 	Repeatable bool // may run more than once
 	Inner      bool // a call of a request that runs elsewhere
--- a/io/decisions/decisions.go
+++ b/io/decisions/decisions.go
@@ -6,6 +6,7 @@
 
 import (
 	"fmt"
+	"net/http"
 	"strconv"
 	"sync"
 	"time"
@@ -18,6 +19,7 @@
 	"mustardmast/core/intake"
 	"mustardmast/core/lifetime"
 	"mustardmast/io/eventlog"
+	"mustardmast/io/placement"
 )
 
 const (
@@ -56,7 +58,7 @@
 	hostDown func(host string, err error)
 	lost     func(id string, err error)
 
-	answered, failed, rejected, offered, turned, ended limiter
+	answered, failed, rejected, offered, served, turned, ended limiter
 
 	latency, wait, run *metrics.PrometheusHistogram
 	limited            *metrics.Counter
@@ -99,7 +101,7 @@
 	r.set.GetOrCreateCounter(fmt.Sprintf("mustardmast_requests_total{status=%q,error=%q}", strconv.Itoa(status), kind(err))).Inc()
 	fields := append(call(c), zap.Int("status", status), zap.Duration("took", took), zap.Bool("inner", c.Inner), zap.Bool("returned", c.Returned),
 		zap.Int("priority", c.Priority), zap.Duration("hold", c.Hold))
-	if err == nil && status < 500 {
+	if err == nil && status < http.StatusInternalServerError {
 		r.write(&r.answered, servedPerSecond, eventlog.RequestAnswered, fields...)
 		return
 	}
@@ -114,13 +116,16 @@
 }
 
 // Placed implements placement.Observer.
-func (r *Recorder) Placed(c *mustardmast.TargetCall, host string, status int, err error, took time.Duration) {
-	r.set.GetOrCreateCounter(fmt.Sprintf("mustardmast_offers_total{error=%q}", kind(err))).Inc()
-	if err == nil && status < 500 {
-		return
+func (r *Recorder) Placed(c *mustardmast.TargetCall, o placement.Offer) {
+	r.set.GetOrCreateCounter(fmt.Sprintf("mustardmast_offers_total{error=%q}", kind(o.Err))).Inc()
+	l, most := &r.offered, failedPerSecond
+	if o.Err == nil && o.Status < http.StatusInternalServerError {
+		l, most = &r.served, servedPerSecond
 	}
-	r.write(&r.offered, failedPerSecond, eventlog.CallOffered, append(call(c), zap.String("to", host), zap.Int("status", status),
-		zap.Duration("took", took), zap.Duration("left", time.Until(c.Deadline)), zap.NamedError("reason", err))...)
+	r.write(l, most, eventlog.CallOffered, append(call(c), zap.String("to", o.Host), zap.Int("offer", o.Number), zap.Int("status", o.Status),
+		zap.Duration("took", o.Took), zap.Duration("left", time.Until(c.Deadline)), zap.Int("known-running", o.Report.Running),
+		zap.Int("known-waiting", o.Report.Waiting), zap.Int("known-limit", o.Report.Limit), zap.Duration("known-age", o.Age),
+		zap.NamedError("reason", o.Err))...)
 }
 
 // HostDown implements placement.Observer.
--- a/io/ingress/ingress.go
+++ b/io/ingress/ingress.go
@@ -257,13 +257,14 @@
 // place sheds a request or takes it to a target.
 func (h *Handler) place(ctx context.Context, q *request) (*mustardmast.TargetReply, error) {
 	if !q.call.Inner {
-		level := h.parts.Levels.Level(time.Now(), q.call.Route)
+		now := time.Now()
+		level := h.parts.Levels.Level(now, q.call.Route)
 		kept := pressure.Kept(level, q.call.Rank)
 		if q.call.Returned {
 			kept = min(1, returnedKept*kept)
 		}
 		if q.call.Kept = kept; rand.Float64() >= kept {
-			return nil, fault.Newf(fault.Shed, "level %.2f of %q", level, q.call.Route)
+			return nil, fault.Newf(fault.Shed, "level %.2f, %v old, %.2f let through", level, h.parts.Levels.Age(now, q.call.Route), kept)
 		}
 	}
 	var met func(float64)
--- a/io/placement/placement.go
+++ b/io/placement/placement.go
@@ -46,14 +46,25 @@
 
 // Observer is told of what happens to calls. Its methods must not block.
 type Observer interface {
-	// Placed is called for each offer to a node, with its outcome.
-	Placed(c *mustardmast.TargetCall, host string, status int, err error, took time.Duration)
+	// Placed is called for each offer to a node, with its outcome and the news of the host that it was chosen by.
+	Placed(c *mustardmast.TargetCall, o Offer)
 	// HostDown is called when a host that was believed to be up cannot be reached.
 	HostDown(host string, err error)
 	// Behind is called when a host has a later configuration.
 	Behind(host string, version uint64)
 }
 
+// Offer is one offer of a call to a node.
+type Offer struct {
+	Host   string
+	Number int // of the offers of this call
+	Report mustardmast.TargetReport
+	Age    time.Duration // of the report when the host was chosen
+	Status int           // of the target's answer; 0 if there is none
+	Err    error
+	Took   time.Duration
+}
+
 // Placer takes calls to targets. Its methods may be called concurrently.
 type Placer struct {
 	roster    *roster.Roster
@@ -148,6 +159,7 @@
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer a.watch(cancel, host.Host)()
+	known, age, _ := p.roster.News(began, host.Host)
 	p.roster.Sent(began, host.Host)
 	defer p.roster.Ended(host.Host)
 	var reply *mustardmast.TargetReply
@@ -179,7 +191,7 @@
 	if unreachable(err) && p.roster.Down(now, host.Host) {
 		p.observer.HostDown(host.Host, err)
 	}
-	p.observer.Placed(a.call, host.Host, status, err, now.Sub(began))
+	p.observer.Placed(a.call, Offer{Host: host.Host, Number: a.offers, Report: known, Age: age, Status: status, Err: err, Took: now.Sub(began)})
 	if err != nil && a.mute.Load() {
 		p.roster.Mute(host.Host)
 		err = fault.Wrap(err, fault.TargetFailed, "no answer in time")
