--- a/docs/pages_test.go
+++ b/docs/pages_test.go
@@ -47,9 +47,9 @@
 
 // Guards against a process setting that no page explains, and against one that the page invents.
 func TestOperationsListsEverySetting(t *testing.T) {
-	page := read(t, "operations.md")
+	page := read(t, "OPERATIONS.md")
 	_, table, ok := strings.Cut(page, "\n## Process settings\n")
-	assert.Assert(t, ok, "operations.md has no section for the process settings")
+	assert.Assert(t, ok, "OPERATIONS.md has no section for the process settings")
 	table, _, _ = strings.Cut(table, "\n## ")
 	assert.DeepEqual(t, names(pageKey, table), names(jsonKey, read(t, "../io/settings/settings.go")))
 	assert.Assert(t, strings.Contains(table, "| `drain-timeout` | duration | `"+settings.DefaultDrainTimeout.String()+"` |"))
@@ -96,7 +96,7 @@
 
 // Guards against a page that tells operators to look at a metric, an event or an error kind that does not exist.
 func TestOperationsNamesWhatExists(t *testing.T) {
-	text, metrics, events, errors := read(t, "operations.md"), read(t, "metrics.md"), read(t, "events.md"), read(t, "errors.md")
+	text, metrics, events, errors := read(t, "OPERATIONS.md"), read(t, "metrics.md"), read(t, "events.md"), read(t, "errors.md")
 	for _, m := range regexp.MustCompile("mustardmast_[a-z_]+").FindAllString(text, -1) {
 		assert.Check(t, strings.Contains(metrics, "`"+m+"`") || strings.Contains(metrics, "`"+m+"{"), "metric %s", m)
 	}
