sidecar: built by wire

The process was put together by hand; it is now wired like the daemon. The news of the target has a type of its own, which ends the cycle between the process and its recorder. No change of behaviour; sidecar's tests pass.

--- a/Makefile
+++ b/Makefile
@@ -22,7 +22,7 @@
 
 generate:
 	@if [ -d proto ]; then PATH="$$(.ci/tools):$$PATH" buf generate; fi
-	@cd daemon && PATH="$$(../.ci/tools):$$PATH" wire gen . 2>&1 | grep -v wrote || true
+	@PATH="$$(.ci/tools):$$PATH" wire gen ./daemon ./sidecar 2>&1 | grep -v wrote || true
 
 fmt:
 	PATH="$$(.ci/tools):$$PATH" golangci-lint fmt
--- /dev/null
+++ b/sidecar/providers.go
@@ -0,0 +1,113 @@
+package sidecar
+
+import (
+	"math/rand/v2"
+	"net"
+	"net/netip"
+	"os"
+	"sync/atomic"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+
+	"mustardmast"
+	"mustardmast/core/allowance"
+	"mustardmast/core/intake"
+	"mustardmast/core/lifetime"
+	"mustardmast/core/pressure"
+	"mustardmast/core/returning"
+	"mustardmast/core/roster"
+	"mustardmast/io/decisions"
+	"mustardmast/io/eventlog"
+	"mustardmast/io/fleet"
+	"mustardmast/io/hostlink"
+	"mustardmast/io/ingress"
+	"mustardmast/io/localtarget"
+	"mustardmast/io/logsink"
+	"mustardmast/io/placement"
+	"mustardmast/io/targetconn"
+	"mustardmast/platform"
+)
+
+// settingsFile is the path of the platform's settings file.
+type settingsFile string
+
+// liveSettings are the settings in force; a reload replaces them.
+type liveSettings struct {
+	atomic.Pointer[platform.Settings]
+}
+
+func newSettings(f settingsFile) (platform.Settings, error) { return platform.LoadSettings(string(f)) }
+
+func newLiveSettings(s platform.Settings) *liveSettings {
+	l := &liveSettings{}
+	l.Store(&s)
+	return l
+}
+
+func newSink(set *metrics.Set) *logsink.Sink {
+	s := logsink.New(os.Stdout)
+	set.NewGauge("mustardmast_log_lines_dropped", func() float64 { return float64(s.Dropped()) })
+	return s
+}
+
+func newLog(sink *logsink.Sink) *eventlog.Log {
+	c := zap.NewProductionEncoderConfig()
+	c.EncodeTime = zapcore.ISO8601TimeEncoder
+	c.EncodeDuration = zapcore.StringDurationEncoder
+	return eventlog.New(zap.New(zapcore.NewCore(zapcore.NewJSONEncoder(c), sink, zapcore.InfoLevel)))
+}
+
+func newTracker(s platform.Settings) *lifetime.Tracker { return lifetime.New(s.Target()) }
+
+func newPool(s platform.Settings, set *metrics.Set) *targetconn.Pool {
+	return targetconn.New(s.Target().String(), platform.Headers(), set.NewCounter("mustardmast_target_connections_total").Inc)
+}
+
+func newLink(s platform.Settings) *hostlink.Client {
+	return hostlink.NewClient(net.IP(s.IP().AsSlice()))
+}
+
+func newRoster(s platform.Settings) *roster.Roster {
+	self := roster.Record{
+		Host: s.Host(), Address: netip.AddrPortFrom(s.IP(), s.PeerPort()).String(), Domain: s.Domain(),
+		Service: s.Service(), Started: time.Now().UnixMilli(),
+	}
+	return roster.New(self, rand.Uint64())
+}
+
+func newStore(s platform.Settings, set *metrics.Set) *platform.Store {
+	return platform.NewStore(s.Store(), set.NewCounter("mustardmast_store_calls_total").Inc)
+}
+
+func newFleet(r *roster.Roster, link *hostlink.Client, s fleet.Store, t mustardmast.Timers, l *eventlog.Log) *fleet.Fleet {
+	return fleet.New(r, link, s, t, platform.DecodeDocument, l)
+}
+
+func newRecorder(l *eventlog.Log, set *metrics.Set, f *fleet.Fleet, n *targetNews) *decisions.Recorder {
+	return decisions.New(l, set, f.Behind, f.HostDown, n.lost)
+}
+
+func newExecutor(t *lifetime.Tracker, i *intake.Intake, p *targetconn.Pool, r *decisions.Recorder, f *fleet.Fleet) *localtarget.Executor {
+	return localtarget.New(t, i, p, r, f.Version)
+}
+
+func newAllowance(s platform.Settings) *allowance.Allowance {
+	ratio, slack, window := s.Budget()
+	return allowance.New(allowance.Spec{Ratio: ratio, Slack: slack, Window: window})
+}
+
+func newPlacer(r *roster.Roster, e *localtarget.Executor, link *hostlink.Client, a *allowance.Allowance, l *pressure.Levels, o *decisions.Recorder) *placement.Placer {
+	return placement.New(r, e, link, a, l, o)
+}
+
+func newIngress(s *liveSettings, f *fleet.Fleet, e *localtarget.Executor, p *placement.Placer, l *pressure.Levels,
+	c *returning.Callers, o *decisions.Recorder, n *targetNews,
+) *ingress.Handler {
+	return ingress.New(ingress.Parts{
+		Names: platform.Headers(), Host: s.Load().Host(), Service: func() string { return s.Load().Service() },
+		Table: f.Table, Placer: p, Levels: l, Callers: c, Runs: e, Observer: o, Leaving: n.leaving.Load,
+	})
+}
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -8,7 +8,6 @@
 	"net/netip"
 	"os"
 	"runtime/debug"
-	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -26,7 +25,6 @@
 	"mustardmast/io/localtarget"
 	"mustardmast/io/logsink"
 	"mustardmast/io/targetconn"
-	"mustardmast/io/tick"
 	"mustardmast/platform"
 )
 
@@ -52,21 +50,31 @@
 
 // Sidecar is one node process.
 type Sidecar struct {
-	path     string // of the settings file
-	settings atomic.Pointer[platform.Settings]
+	path     settingsFile
+	settings *liveSettings
 	tracker  *lifetime.Tracker
 	intake   *intake.Intake
 	pool     *targetconn.Pool
 	executor *localtarget.Executor
 	ingress  *ingress.Handler
 	fleet    *fleet.Fleet
-	link     *hostlink.Client
-	timers   *tick.Service
+	news     *targetNews
 	set      *metrics.Set
 	log      *eventlog.Log
 	sink     *logsink.Sink
 	probes   *metrics.Counter
-	leaving  atomic.Bool
+}
+
+// New returns a sidecar with the settings of a file. It does not listen yet.
+func New(path string) (*Sidecar, error) { return build(settingsFile(path)) }
+
+func newSidecar(path settingsFile, s *liveSettings, t *lifetime.Tracker, i *intake.Intake, p *targetconn.Pool, e *localtarget.Executor,
+	h *ingress.Handler, f *fleet.Fleet, n *targetNews, set *metrics.Set, l *eventlog.Log, sink *logsink.Sink,
+) *Sidecar {
+	return &Sidecar{
+		path: path, settings: s, tracker: t, intake: i, pool: p, executor: e, ingress: h, fleet: f, news: n, set: set, log: l, sink: sink,
+		probes: set.NewCounter("mustardmast_probes_total"),
+	}
 }
 
 // Run serves until ctx ends and then makes a planned stop. Reload is sent a value when the settings file has changed.
@@ -154,20 +162,10 @@
 		s.intake.SetSlots(time.Now(), load.Slots)
 		t := s.tracker.Target()
 		s.log.Write(eventlog.TargetReady, zap.String("target", t.ID), zap.String("service", t.Service), zap.Int("slots", t.Slots), zap.String("from", "health"))
-		s.targetChanged(t)
+		s.news.changed(t)
 	}
 }
 
-// targetChanged tells the other nodes of a change of the target.
-func (s *Sidecar) targetChanged(t lifetime.Target) {
-	s.fleet.Change(t.Service, t.State == lifetime.Ready && !s.leaving.Load())
-}
-
-func (s *Sidecar) targetLost(id string, err error) {
-	s.log.Write(eventlog.TargetLost, zap.String("target", id), zap.Error(err))
-	s.targetChanged(s.tracker.Target())
-}
-
 func (s *Sidecar) announcements() http.Handler {
 	known := func(service string) bool {
 		table := s.fleet.Table()
@@ -178,7 +176,7 @@
 		return ok
 	}
 	n := negroni.New(negroni.NewRecovery())
-	n.UseHandler(announce.New(platform.Announcements{}, s.tracker, s.intake, s.pool, known, s.targetChanged, s.log))
+	n.UseHandler(announce.New(platform.Announcements{}, s.tracker, s.intake, s.pool, known, s.news.changed, s.log))
 	return n
 }
 
@@ -186,7 +184,7 @@
 	switch {
 	case r.URL.Path != platform.ReadinessPath:
 		s.metrics(w, r)
-	case s.leaving.Load() || !s.fleet.Ready():
+	case s.news.leaving.Load() || !s.fleet.Ready():
 		w.WriteHeader(http.StatusServiceUnavailable)
 	default:
 		w.WriteHeader(http.StatusOK)
@@ -203,7 +201,7 @@
 
 // reload reads the settings again. Addresses stay as they were at the start; the service of the host may change.
 func (s *Sidecar) reload() {
-	next, err := platform.LoadSettings(s.path)
+	next, err := newSettings(s.path)
 	if err != nil {
 		s.log.Write(eventlog.SettingsRejected, zap.Error(err))
 		return
@@ -216,7 +214,7 @@
 func (s *Sidecar) stop(callers *http.Server) {
 	began := time.Now()
 	end := began.Add(s.settings.Load().Grace() - lastAnswers)
-	s.leaving.Store(true)
+	s.news.leaving.Store(true)
 	s.executor.Leave()
 	s.log.Write(eventlog.Stopping, zap.Int64("requests", s.ingress.Active()), zap.Int64("calls", s.executor.Active()))
 	state := s.tracker.Target().State
--- /dev/null
+++ b/sidecar/wire.go
@@ -0,0 +1,26 @@
+//go:build wireinject
+
+package sidecar
+
+import (
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/google/wire"
+
+	"mustardmast"
+	"mustardmast/core/intake"
+	"mustardmast/core/pressure"
+	"mustardmast/core/returning"
+	"mustardmast/io/fleet"
+	"mustardmast/io/tick"
+	"mustardmast/platform"
+)
+
+// build puts a sidecar together from its settings file.
+func build(f settingsFile) (*Sidecar, error) {
+	wire.Build(
+		newSettings, newLiveSettings, metrics.NewSet, newSink, newLog, tick.New, newTracker, intake.New, newPool, newLink, newRoster, newStore,
+		newFleet, newTargetNews, newRecorder, newExecutor, pressure.New, newAllowance, returning.New, newPlacer, newIngress, newSidecar,
+		wire.Bind(new(mustardmast.Timers), new(*tick.Service)), wire.Bind(new(fleet.Store), new(*platform.Store)),
+	)
+	return nil, nil
+}
