--- a/io/ingress/ingress.go
+++ b/io/ingress/ingress.go
@@ -12,6 +12,7 @@
 	"math/rand/v2"
 	"net/http"
 	"net/textproto"
+	"os"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -160,6 +161,9 @@
 		if errors.As(err, &large) {
 			return reject(http.StatusRequestEntityTooLarge, "body above the limit", t.Version())
 		}
+		if errors.Is(err, os.ErrDeadlineExceeded) {
+			return reject(http.StatusRequestTimeout, "the body did not come in time", t.Version())
+		}
 		return reject(http.StatusBadRequest, "the body could not be read: "+err.Error(), t.Version())
 	}
 	return q, true
--- a/sidecar/sidecar_test.go
+++ b/sidecar/sidecar_test.go
@@ -206,6 +206,18 @@
 	assert.Assert(t, (<-ended).Sub(left) < 500*time.Millisecond)
 }
 
+// Guards against a proper request whose body comes too slowly being told that it was wrong. It has not run.
+func TestABodyThatDoesNotComeInTime(t *testing.T) {
+	c := newCluster(t)
+	entry := c.add("board", "a")
+	body, sent := io.Pipe()
+	defer func() { _ = sent.Close() }()
+	go func() { _, _ = io.WriteString(sent, "start") }()
+	id, resp, _ := entry.send("POST", "/board/", http.Header{"Deadline-Ms": {"200"}}, body)
+	assert.Equal(t, resp.StatusCode, http.StatusRequestTimeout)
+	assert.Equal(t, c.total(id), 0)
+}
+
 // Guards against a request held beyond its route's timeout.
 func TestTheTimeoutOfTheRoute(t *testing.T) {
 	c := newCluster(t)
