io/targetconn: a request that must not repeat takes a connection idle for 200 ms at most

Targets of the grown deployments may forget a connection after 300 ms, and whatever is sent on it is reset, with an unknown outcome.

--- a/io/targetconn/targetconn.go
+++ b/io/targetconn/targetconn.go
@@ -33,7 +33,7 @@
 	idleMargin = 800 * time.Millisecond
 	// idleOnce is how long a connection may have been idle for a request that must not be sent twice: a connection
 	// that the target has dropped leaves such a request with an unknown outcome.
-	idleOnce = 700 * time.Millisecond
+	idleOnce = 200 * time.Millisecond
 	// answerGrace is the wait for an answer beyond the deadline; the target itself answers at the deadline.
 	answerGrace = 150 * time.Millisecond
 	// inlineBody is the largest body that is sent in one write with its head.
