--- a/io/targetconn/targetconn.go
+++ b/io/targetconn/targetconn.go
@@ -8,19 +8,14 @@
 
 import (
 	"bufio"
-	"bytes"
 	"context"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
-	"strconv"
-	"strings"
 	"sync"
 	"time"
 
-	"github.com/pkg/errors"
-
 	"mustardmast"
 	"mustardmast/core/fault"
 )
@@ -163,204 +158,9 @@
 	return p.exchange(ctx, cn, c, lifetime, deadline)
 }
 
-// closedError marks a connection that ended before the first byte of an answer.
-type closedError struct{ error }
-
 // Unwrap returns the cause.
 func (e closedError) Unwrap() error { return e.error }
 
-func isClosed(f *fault.Error) bool {
-	var closed closedError
-	return errors.As(f.Unwrap(), &closed)
-}
-
-func (p *Pool) exchange(ctx context.Context, cn *conn, c *mustardmast.TargetCall, lifetime string, deadline time.Time) (*mustardmast.TargetReply, error) {
-	if err := cn.SetDeadline(deadline.Add(answerGrace)); err != nil {
-		_ = cn.Close()
-		return nil, fault.Wrap(err, fault.NotReady, "connection to the target")
-	}
-	stop := context.AfterFunc(ctx, func() { _ = cn.Close() })
-	body, err := p.send(cn, c, lifetime, time.Until(deadline))
-	if err != nil {
-		stop()
-		_ = cn.Close()
-		return nil, p.lost(ctx, err, "the call could not be sent")
-	}
-	resp, err := p.answer(cn, c)
-	if err != nil {
-		stop()
-		_ = cn.Close()
-		return nil, p.lost(ctx, err, "no answer of the target")
-	}
-	return p.reply(cn, resp, body, stop)
-}
-
-func (p *Pool) lost(ctx context.Context, err error, detail string) error {
-	if ctx.Err() != nil {
-		return fault.Wrap(ctx.Err(), fault.Canceled, detail)
-	}
-	var timeout net.Error
-	if errors.As(err, &timeout) && timeout.Timeout() {
-		return fault.Wrap(err, fault.DeadlineExceeded, detail)
-	}
-	return fault.Wrap(err, fault.TargetFailed, detail)
-}
-
-// upload tells how the sending of a body stands.
-type upload struct {
-	done chan struct{}
-	err  error
-}
-
-func (u *upload) complete() bool {
-	if u == nil {
-		return true
-	}
-	select {
-	case <-u.done:
-		return u.err == nil
-	default:
-		return false
-	}
-}
-
-func (p *Pool) send(cn *conn, c *mustardmast.TargetCall, lifetime string, left time.Duration) (*upload, error) {
-	var b bytes.Buffer
-	fmt.Fprintf(&b, "%s %s HTTP/1.1\r\nHost: %s\r\n", c.Method, c.URI, c.Host)
-	for name, values := range c.Header {
-		for _, v := range values {
-			b.WriteString(name + ": " + v + "\r\n")
-		}
-	}
-	b.WriteString(p.names.TimeLeft + ": " + strconv.FormatInt(max(1, left.Milliseconds()), 10) + "\r\n")
-	b.WriteString(p.names.Expected + ": " + lifetime + "\r\n")
-	switch {
-	case c.Body != nil && c.Length < 0:
-		b.WriteString("Transfer-Encoding: chunked\r\n")
-	case c.Body != nil || c.Method == http.MethodPost || c.Method == http.MethodPut || c.Method == http.MethodPatch:
-		b.WriteString("Content-Length: " + strconv.FormatInt(max(0, c.Length), 10) + "\r\n")
-	}
-	b.WriteString("\r\n")
-	if c.Body == nil || c.Length == 0 {
-		_, err := cn.Write(b.Bytes())
-		return nil, err
-	}
-	if c.Length > 0 && c.Length <= inlineBody {
-		if _, err := io.CopyN(&b, c.Body, c.Length); err != nil {
-			return nil, err
-		}
-		_, err := cn.Write(b.Bytes())
-		return nil, err
-	}
-	if _, err := cn.Write(b.Bytes()); err != nil {
-		return nil, err
-	}
-	u := &upload{done: make(chan struct{})}
-	go func() {
-		defer close(u.done)
-		if u.err = copyBody(cn, c); u.err != nil {
-			_ = cn.Close() // an incomplete body must not look complete
-		}
-	}()
-	return u, nil
-}
-
-func copyBody(cn *conn, c *mustardmast.TargetCall) error {
-	buffer := make([]byte, copyBuffer)
-	if c.Length >= 0 {
-		n, err := io.CopyBuffer(onlyWriter{cn}, io.LimitReader(c.Body, c.Length), buffer)
-		if err == nil && n < c.Length {
-			err = io.ErrUnexpectedEOF
-		}
-		return err
-	}
-	for {
-		n, err := c.Body.Read(buffer)
-		if n > 0 {
-			if _, err := fmt.Fprintf(cn, "%x\r\n%s\r\n", n, buffer[:n]); err != nil {
-				return err
-			}
-		}
-		if errors.Is(err, io.EOF) {
-			_, err = io.WriteString(cn, "0\r\n\r\n")
-			return err
-		}
-		if err != nil {
-			return err
-		}
-	}
-}
-
-// onlyWriter hides ReadFrom, so that the given buffer is used.
-type onlyWriter struct{ io.Writer }
-
-// answer reads the answer to a call. Answers to earlier calls on the connection are passed over.
-func (p *Pool) answer(cn *conn, c *mustardmast.TargetCall) (*http.Response, error) {
-	request := &http.Request{Method: c.Method}
-	for foreign := 0; foreign < mostForeign; {
-		if _, err := cn.r.Peek(1); err != nil {
-			return nil, closedError{err}
-		}
-		resp, err := http.ReadResponse(cn.r, request)
-		if err != nil {
-			return nil, err
-		}
-		if resp.StatusCode < http.StatusOK {
-			continue
-		}
-		id := resp.Header.Get(p.names.RequestID)
-		if id == c.ID || id == "" && p.notExecuted(resp) {
-			return resp, nil
-		}
-		if id == "" || resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
-			return nil, fmt.Errorf("answer to another request: %q", id)
-		}
-		foreign++
-		if _, err := io.Copy(io.Discard, resp.Body); err != nil {
-			return nil, err
-		}
-	}
-	return nil, fmt.Errorf("more than %d answers to other requests", mostForeign)
-}
-
-func (p *Pool) notExecuted(r *http.Response) bool {
-	return r.Header.Get(p.names.NotExecuted) != "" || r.StatusCode == http.StatusMisdirectedRequest
-}
-
-func (p *Pool) reply(cn *conn, resp *http.Response, u *upload, stop func() bool) (*mustardmast.TargetReply, error) {
-	cn.idleFor = idleTime(resp.Header.Get("Keep-Alive"))
-	body := &replyBody{pool: p, conn: cn, resp: resp, upload: u, stop: stop}
-	if p.notExecuted(resp) {
-		_, err := io.Copy(io.Discard, io.LimitReader(body, readBuffer))
-		_ = body.Close()
-		if err != nil && resp.StatusCode != http.StatusMisdirectedRequest {
-			// The head alone is the promise; the rest of the answer says nothing more.
-			resp.Header.Set("Connection", "close")
-		}
-		if resp.StatusCode == http.StatusMisdirectedRequest {
-			return nil, fault.New(fault.WrongIncarnation, "another lifetime has the address: "+resp.Header.Get(p.names.Lifetime))
-		}
-		return nil, fault.Newf(fault.TargetRefused, "status %d of the target", resp.StatusCode)
-	}
-	for _, name := range mustardmast.ConnectionFields {
-		resp.Header.Del(name)
-	}
-	return &mustardmast.TargetReply{Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength, Body: body}, nil
-}
-
-func idleTime(keepAlive string) time.Duration {
-	for _, p := range strings.Split(keepAlive, ",") {
-		name, value, _ := strings.Cut(strings.TrimSpace(p), "=")
-		if !strings.EqualFold(name, "timeout") {
-			continue
-		}
-		if n, err := strconv.Atoi(value); err == nil && n > 0 {
-			return max(time.Duration(n)*time.Second-idleMargin, time.Duration(n)*time.Second/2)
-		}
-	}
-	return idleDefault
-}
-
 // replyBody is the body of a reply. The connection goes back to the pool once it is read to its end.
 type replyBody struct {
 	pool   *Pool
