core/allowance: repeats that were saved up may be used at once

Found by TestAMuteTargetIsGivenUpForAnother, which failed once under the race detector: a request got 504 instead of another target. The cut was computed from the steady rate alone, so a node that had not repeated anything for a whole window refused repeats that were still allowed. The rate now includes what was saved, spread over two seconds. The bound itself is as it was.

--- a/core/allowance/allowance.go
+++ b/core/allowance/allowance.go
@@ -32,6 +32,9 @@
 // safety is the part of the bound that is used. The rest covers nodes that have restarted and forgotten what they sent.
 const safety = 0.6
 
+// savings is the time over which repeats that were allowed and not used so far may be used up.
+const savings = 2 * time.Second
+
 const (
 	// levels is how many importances have standings of their own; less important ones share the last.
 	levels = 3
@@ -128,7 +131,7 @@
 		repeats += c.repeats[i]
 	}
 	bound := safety * (a.spec.Ratio*first + a.spec.Slack/float64(max(1, nodes)))
-	c.turn(now, bound/a.spec.Window.Seconds())
+	c.turn(now, max(bound/a.spec.Window.Seconds(), (bound-repeats)/savings.Seconds()))
 	if !r.Again {
 		c.asked[min(levels-1, int(r.Standing))]++
 	}
