--- a/sidecar/sidecar_test.go
+++ b/sidecar/sidecar_test.go
@@ -269,3 +269,68 @@
 		assert.ErrorContains(t, err, want)
 	}
 }
+
+// callFrom makes a target's handler call a path through its own node, as a part of the run of the request that it serves,
+// and answer 500 if the call fails.
+func callFrom(h *host, path string) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		call, err := http.NewRequest("GET", "http://"+h.ip+":8304"+path, nil)
+		if err != nil {
+			w.WriteHeader(http.StatusInternalServerError)
+			return
+		}
+		call.Host = "a.example"
+		call.Header.Set("Attempt-Id", r.Header.Get("Attempt-Id")+".1")
+		call.Header.Set("Deadline-Ms", r.Header.Get("Deadline-Ms"))
+		resp, err := http.DefaultTransport.RoundTrip(call)
+		if err != nil {
+			w.WriteHeader(http.StatusInternalServerError)
+			return
+		}
+		_ = resp.Body.Close()
+		if resp.StatusCode != http.StatusOK {
+			w.WriteHeader(http.StatusInternalServerError)
+		}
+	}
+}
+
+// Guards against a run that is repeated with all its calls because one of them failed: at every level of a chain that
+// multiplies the load on the service that fails.
+func TestAFailedRunThatMadeCallsIsNotRepeated(t *testing.T) {
+	c := newCluster(t)
+	c.configure(3, rule("/board/", "idempotent", 2, "board", 2), rule("/ledger/", "idempotent", 0, "ledger", 2))
+	entry, leaf := c.add("ledger", "a"), c.add("ledger", "b")
+	for _, h := range []*host{c.add("board", "a"), c.add("board", "b")} {
+		h.target.answer(callFrom(h, "/ledger/"))
+	}
+	failing := func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusInternalServerError) }
+	entry.target.answer(failing)
+	leaf.target.answer(failing)
+	for range 10 {
+		id, resp, _ := entry.send("GET", "/board/", nil, nil)
+		assert.Equal(t, resp.StatusCode, http.StatusInternalServerError)
+		assert.Equal(t, c.total(id), 1)
+		assert.Assert(t, c.total(id+".1") <= 2, "the call itself may be repeated")
+	}
+}
+
+// Guards against an answer of a target being replaced by a failure of the node's own when no other target does better.
+func TestTheAnswerThatFailedIsGivenIfNoOtherComes(t *testing.T) {
+	c := newCluster(t)
+	entry := c.add("ledger", "a")
+	for range 2 {
+		h := c.add("board", "a")
+		h.target.answer(func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("Server-Signature", "own")
+			w.WriteHeader(http.StatusInternalServerError)
+			_, _ = io.WriteString(w, "from "+h.ip)
+		})
+	}
+	for range 5 {
+		id, resp, body := entry.send("GET", "/board/", nil, nil)
+		assert.Equal(t, resp.StatusCode, http.StatusInternalServerError)
+		assert.Equal(t, resp.Header.Get("Server-Signature"), "own")
+		assert.Assert(t, strings.HasPrefix(body, "from "))
+		assert.Assert(t, c.total(id) <= 2)
+	}
+}
