core/intake: the replay checks what reaches the target

It passed with the share let through left out of the demand: the target's own refusals made up for an entry that shed half of what it should. Offered load is now bounded by 1.25 of the capacity, and that variant fails.

--- a/core/intake/loop_test.go
+++ b/core/intake/loop_test.go
@@ -22,12 +22,12 @@
 	delay  time.Duration
 	hold   time.Duration
 
-	asked, served, refused map[int]int // by second
+	asked, offered, served, refused map[int]int // by second
 }
 
 func newLoop(work, delay, hold time.Duration) *loop {
 	l := &loop{replay: &replay{}, intake: intake.New(), levels: pressure.New(), random: rand.New(rand.NewPCG(7, 7)), work: work, delay: delay, hold: hold,
-		asked: map[int]int{}, served: map[int]int{}, refused: map[int]int{}}
+		asked: map[int]int{}, offered: map[int]int{}, served: map[int]int{}, refused: map[int]int{}}
 	l.intake.SetSlots(start, slots)
 	return l
 }
@@ -52,6 +52,7 @@
 		l.refused[second(now)]++
 		return
 	}
+	l.offered[second(now)]++
 	ticket, wait := l.intake.Enter(now, intake.Request{Priority: 2, Kept: kept, Hold: l.hold})
 	switch {
 	case ticket == nil:
@@ -88,7 +89,8 @@
 
 // Replays three seconds at three times the capacity between calm ones, with levels that reach the entry 10 ms and 400 ms
 // after they were told. Guards against shedding far more than is too much, which leaves slots idle while callers are
-// turned away, and against shedding that goes on after the load has gone.
+// turned away, against far too little, which leaves the rest to be turned away at the target, and against shedding that
+// goes on after the load has gone.
 func TestSheddingFollowsTheLoad(t *testing.T) {
 	for _, delay := range []time.Duration{10 * time.Millisecond, 400 * time.Millisecond} {
 		l := newLoop(40*time.Millisecond, delay, 100*time.Millisecond)
@@ -101,6 +103,9 @@
 		for s := 1; s < 4; s++ {
 			assert.Check(t, l.served[s] > l.capacity()*85/100, "delay %v, second %d: %d of %d", delay, s, l.served[s], l.capacity())
 		}
+		for s := 2; s < 4; s++ {
+			assert.Check(t, l.offered[s] < l.capacity()*5/4, "delay %v, second %d: %d offered for %d", delay, s, l.offered[s], l.capacity())
+		}
 		assert.Check(t, l.refused[5] < l.asked[5]/20, "delay %v: %d of %d", delay, l.refused[5], l.asked[5])
 		assert.Check(t, l.refused[6]+l.refused[7] == 0, "delay %v", delay)
 	}
