sidecar: a soak of real processes

Five nodes as processes, ten clients that keep connections open, and faults that overlap: kill, pause and planned stops by signals, a store that fails, targets that lose or cut answers, changes of the configuration. What clients were told is compared with what the targets ran.

Not in it yet: links that are delayed, cut one way or silenced by a proxy.

--- a/sidecar/cluster_test.go
+++ b/sidecar/cluster_test.go
@@ -28,6 +28,9 @@
 	store *storestub.Stub
 	addr  string // of the store
 	hosts []*host
+
+	program string // of the node processes; empty for nodes within the test
+	logs    string // folder for what the processes write
 }
 
 // host is one node and its target.
@@ -39,6 +42,8 @@
 	stop     context.CancelFunc
 	ended    chan struct{}
 	target   *target
+	process  *os.Process
+	busy     atomic.Bool // a fault is being injected into the process
 }
 
 var nextIP atomic.Int32
@@ -87,9 +92,13 @@
 	assert.NilError(h.c.t, os.WriteFile(h.settings, []byte(text), 0o600))
 }
 
-// start starts the node.
+// start starts the node, as a process if the cluster has a program and else within the test.
 func (h *host) start() {
 	h.c.t.Helper()
+	if h.c.program != "" {
+		h.startProcess()
+		return
+	}
 	s, err := sidecar.New(h.settings)
 	assert.NilError(h.c.t, err)
 	ctx, cancel := context.WithCancel(context.Background())
