io/fleet: a host that leaves for good does not wait for others in turn

Cause: a node that stops after its target has gone removed its entry and told every host one after the other before it looked at its own requests. A store and hosts that do not answer cost 1.5 s and 150 ms each, and past the grace period the process is killed with requests under way.

Change: messages go out eight at a time, beside the rest of the stop, which ends in time whether they are answered or not.

--- a/io/fleet/fleet.go
+++ b/io/fleet/fleet.go
@@ -167,8 +167,11 @@
 	}
 }
 
-// tellAll sends the own record to every host.
-func (f *Fleet) tellAll() {
+// tellAll sends the own record to every host. It does not wait for their answers.
+func (f *Fleet) tellAll() { f.broadcast(f.probe) }
+
+// broadcast calls send for every other host, for some at a time. The group that it returns ends with the last one.
+func (f *Fleet) broadcast(send func(roster.Record)) *sync.WaitGroup {
 	hosts := make(chan roster.Record)
 	self := f.roster.Self().Host
 	go func() {
@@ -179,13 +182,15 @@
 			}
 		}
 	}()
+	var wg sync.WaitGroup
 	for range parallel {
-		go func() {
+		wg.Go(func() {
 			for r := range hosts {
-				f.probe(r)
+				send(r)
 			}
-		}()
+		})
 	}
+	return &wg
 }
 
 // probe sends the own record to a host and takes its answer.
@@ -283,7 +288,8 @@
 	f.log.Write(eventlog.HostDown, zap.String("host", host), zap.Error(err))
 }
 
-// Leave tells the others that this host takes no more calls. If it leaves for good, its entry in the store goes.
+// Leave tells the others that this host takes no more calls. If it leaves for good, its entry in the store goes, and the
+// others forget it. It returns when all have been told or could not be.
 func (f *Fleet) Leave(forGood bool) {
 	f.Change(f.roster.Self().Service, false)
 	if !forGood {
@@ -294,15 +300,13 @@
 	if err := f.store.Remove(ctx, f.roster.Self().Host); err != nil {
 		f.log.Write(eventlog.HostNotRegistered, zap.Error(err))
 	}
-	self := f.roster.Self().Host
-	for _, r := range f.roster.Records() {
-		if r.Host != self {
-			ctx, cancel := context.WithTimeout(f.ctx, messageTimeout/4)
-			// A host that does not hear of it finds this one down.
-			if _, err := f.link.Exchange(ctx, r.Address, hostlink.News{From: f.roster.Self(), Left: []string{self}, Version: f.Version()}); err != nil {
-				f.log.Write(eventlog.HostDown, zap.String("host", r.Host), zap.Error(fault.Wrap(err, fault.PeerUnreachable, "leaving")))
-			}
-			cancel()
+	self := f.roster.Self()
+	f.broadcast(func(r roster.Record) {
+		ctx, cancel := context.WithTimeout(f.ctx, messageTimeout)
+		defer cancel()
+		// A host that does not hear of it finds this one down.
+		if _, err := f.link.Exchange(ctx, r.Address, hostlink.News{From: self, Left: []string{self.Host}, Version: f.Version()}); err != nil {
+			f.log.Write(eventlog.HostDown, zap.String("host", r.Host), zap.Error(fault.Wrap(err, fault.PeerUnreachable, "leaving")))
 		}
-	}
+	}).Wait()
 }
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -218,7 +218,11 @@
 	s.executor.Leave()
 	s.log.Write(eventlog.Stopping, zap.Int64("requests", s.ingress.Active()), zap.Int64("calls", s.executor.Active()))
 	state := s.tracker.Target().State
-	s.fleet.Leave(state == lifetime.Gone || state == lifetime.Draining)
+	told := make(chan struct{})
+	go func() {
+		defer close(told)
+		s.fleet.Leave(state == lifetime.Gone || state == lifetime.Draining)
+	}()
 	for now := began; now.Before(end); now = time.Now() {
 		if now.Sub(began) > noticePeriod && s.ingress.Active() == 0 && s.executor.Active() == 0 {
 			break
@@ -230,6 +234,10 @@
 	if err := callers.Shutdown(ctx); err != nil {
 		s.log.Write(eventlog.DrainTimedOut, zap.Int64("requests", s.ingress.Active()), zap.Int64("calls", s.executor.Active()), zap.Error(err))
 	}
+	select {
+	case <-told:
+	case <-ctx.Done():
+	}
 	s.fleet.Stop()
 	s.log.Write(eventlog.Stopped, zap.Duration("took", time.Since(began)))
 	_ = s.sink.Sync() // it never fails
--- a/sidecar/sidecar_test.go
+++ b/sidecar/sidecar_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"os"
 	"strings"
@@ -334,3 +335,26 @@
 		assert.Assert(t, c.total(id) <= 2)
 	}
 }
+
+// Guards against a host that leaves for good while the store and other hosts do not answer, and is killed because it
+// waits for them.
+func TestLeavingDoesNotWaitForHostsThatDoNotAnswer(t *testing.T) {
+	c := newCluster(t)
+	h := c.add("board", "a")
+	for n := range 40 {
+		l, err := net.Listen("tcp", fmt.Sprintf("%s:%d", h.ip, 9000+n))
+		assert.NilError(t, err)
+		defer func() { _ = l.Close() }() // it never accepts
+		c.store.Put("mustardmast-hosts", fmt.Sprint("silent", n), []byte(fmt.Sprintf(`{"address":%q,"domain":"b","service":"board"}`, l.Addr())))
+	}
+	last := c.add("ledger", "a")
+	r, err := http.Post("http://"+last.ip+":8306/v1/instances/i-1/deregister", "", nil)
+	assert.NilError(t, err)
+	_ = r.Body.Close()
+	c.store.Hang(true)
+	defer c.store.Hang(false)
+	began := time.Now()
+	last.stop()
+	<-last.ended
+	assert.Assert(t, time.Since(began) < 3*time.Second, "%v", time.Since(began))
+}
