--- a/sidecar/cluster_test.go
+++ b/sidecar/cluster_test.go
@@ -72,7 +72,8 @@
 // add starts a host with its target and waits until the node is ready.
 func (c *cluster) add(service, domain string) *host {
 	c.t.Helper()
-	h := &host{c: c, ip: fmt.Sprintf("127.0.%d.%d", 10+os.Getpid()%200, nextIP.Add(1)), service: service}
+	n := nextIP.Add(1)
+	h := &host{c: c, ip: fmt.Sprintf("127.%d.%d.%d", 10+os.Getpid()%200, n/200, n%200+1), service: service}
 	h.settings = filepath.Join(c.t.TempDir(), "boot.json")
 	h.write(service, domain)
 	h.target = newTarget(c.t, h, "i-1")
