--- a/core/intake/intake.go
+++ b/core/intake/intake.go
@@ -1,13 +1,13 @@
 // Package intake decides which requests run on a target, which wait for it, and which are turned away.
 //
-// The intake also computes the level at which the entry nodes should shed. Each request tells the share of its kind that
-// the entry let through, so the demand before any shedding is known, and the level follows from it without feedback: a
-// controller that moved the level by the target's occupancy would act on what it told some hundred milliseconds ago, and
-// shed far too much in turn with too little.
-//
 // A target runs a fixed number of requests at once. While all its slots are taken, calls of requests that already run
 // elsewhere wait first, then requests by priority; among equals those of callers that come back go first. A request is
 // turned away at once if it would wait longer than it can afford, so that its caller may go elsewhere in time.
+//
+// The intake also computes the level at which the entry nodes should shed. Each request tells the share of its kind that
+// the entry let through, so the demand before any shedding is known, and the level follows from it without feedback. A
+// controller on the target's occupancy would act on what it told some hundred milliseconds ago, and shed far too much in
+// turn with too little.
 package intake
 
 import (
@@ -105,13 +105,11 @@
 	i.startNext(now)
 }
 
-// Started tells that the target is a new lifetime: what ran on the last one has ended with it.
-func (i *Intake) Started(isCold bool) {
+// StartedCold tells that a new lifetime of the target is slow at first.
+func (i *Intake) StartedCold() {
 	i.mu.Lock()
 	defer i.mu.Unlock()
-	if isCold {
-		i.service *= cold
-	}
+	i.service *= cold
 }
 
 // Enter admits a request or turns it away. Without a ticket it is turned away, and wait is the time that it would have
--- a/core/lifetime/lifetime.go
+++ b/core/lifetime/lifetime.go
@@ -48,13 +48,12 @@
 type Tracker struct {
 	address netip.AddrPort
 
-	mu       sync.Mutex
-	last     Announcement
-	state    State
-	cold     time.Time
-	left     map[string]int64 // start of lifetimes that have left, by id
-	assumed  bool             // the id comes from an answer, not from an announcement
-	lastSeen time.Time
+	mu      sync.Mutex
+	last    Announcement
+	state   State
+	cold    time.Time
+	left    map[string]int64 // start of lifetimes that have left, by id
+	assumed bool             // the id comes from an answer, not from an announcement
 }
 
 // maxLeft bounds the lifetimes that are remembered after they left.
@@ -76,7 +75,7 @@
 	if start, ok := t.left[a.ID]; ok && a.StartedMS <= start {
 		return false
 	}
-	t.last, t.assumed, t.lastSeen = a, false, now
+	t.last, t.assumed = a, false
 	t.cold = now.Add(a.Cold)
 	t.state = Ready
 	if a.Draining {
--- a/io/announce/announce.go
+++ b/io/announce/announce.go
@@ -85,7 +85,9 @@
 	}
 	if before.ID != a.ID {
 		h.pool.Forget()
-		h.intake.Started(a.Cold > 0)
+		if a.Cold > 0 {
+			h.intake.StartedCold()
+		}
 	}
 	if before.Slots != a.Slots || before.ID != a.ID {
 		h.intake.SetSlots(now, a.Slots)
--- a/io/ingress/ingress.go
+++ b/io/ingress/ingress.go
@@ -90,7 +90,6 @@
 type request struct {
 	call    *mustardmast.TargetCall
 	route   *routing.Route
-	version uint64
 	left    time.Duration // that the caller waits
 	waited  time.Duration // that the caller has waited before
 	arrived time.Time
@@ -174,7 +173,7 @@
 	if ms, err := strconv.ParseFloat(r.Header.Get(h.parts.Names.TimeLeft), 64); err == nil && ms >= 0 {
 		left = time.Duration(ms * float64(time.Millisecond))
 	}
-	q := &request{route: route, version: t.Version(), left: left, arrived: now, release: func() {}}
+	q := &request{route: route, left: left, arrived: now, release: func() {}}
 	c := &mustardmast.TargetCall{
 		ID: r.Header.Get(h.parts.Names.RequestID), Service: route.Next(), Route: route.Key(), Version: t.Version(), Entry: h.parts.Host,
 		Method: r.Method, URI: r.RequestURI, Host: r.Host, Header: h.forwarded(r.Header), Length: r.ContentLength,
