sidecar: tests wait until the other nodes know a new host

Its log shows the request at 13:00:40.037 with no-target, and the news that the second host takes work at the entry in the same millisecond, after it: the test sent its first request before the other nodes had heard of that host. Nothing that the test checks was broken. A cluster now waits for that news whenever it adds a host, so the checks hold from the first request on.

--- a/sidecar/cluster_test.go
+++ b/sidecar/cluster_test.go
@@ -10,6 +10,7 @@
 	"net/http/httptest"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -18,6 +19,8 @@
 
 	"gotest.tools/v3/assert"
 
+	"mustardmast/core/roster"
+	"mustardmast/io/hostlink"
 	"mustardmast/platform/storestub"
 	"mustardmast/sidecar"
 )
@@ -82,9 +85,24 @@
 	h.listening()
 	h.announce("ready", 1)
 	h.await(http.StatusOK)
+	h.known()
 	return h
 }
 
+// known waits until the other nodes have heard that the host takes work. Its own node is ready some milliseconds before.
+func (h *host) known() {
+	h.c.t.Helper()
+	link := hostlink.NewClient(net.IPv4(127, 0, 0, 1))
+	defer link.Close()
+	for _, o := range h.c.hosts {
+		eventually(h.c.t, 5*time.Second, func() bool {
+			// A digest that no node has makes it answer with all hosts that it knows.
+			news, err := link.Exchange(context.Background(), o.ip+":7620", hostlink.News{Digest: 2})
+			return err == nil && slices.ContainsFunc(news.Hosts, func(r roster.Record) bool { return r.Host == "node-"+h.ip && r.Ready })
+		})
+	}
+}
+
 func (h *host) write(service, domain string) {
 	text := fmt.Sprintf(`{"Self":{"Node":"node-%[1]s","Ip":%[1]q,"Zone":%[2]q,"AppAddress":"%[1]s:8301","Service":%[3]q,"Limits":{"MemoryMb":284}},
 		"Network":{"Listen":{"Outbound":"%[1]s:8304","Readiness":"%[1]s:8302","ControlPlane":"%[1]s:8306"},"InternalPorts":[7620,7635]},
