io, sidecar: one piece of code where the path had written it again

Found on reading the whole change once more: - the fields that concern one connection stood in the root package and in io/message; ingress and targetconn now call message.CopyHeader, which reads every Connection field instead of the first, as ingress did; - a writer without ReadFrom and its copy loop stood in three packages; they are message.Copy now; - the bounds of latency histograms stood twice; decisions takes telemetry's; - comparing with a random host repeated comparing with a given one; - placement looked up a host's report twice for each offer; - the peer server told a function of each call's version that did nothing. It is gone, and two pages no longer say that a call brings its sender's version: replies and comparisons do; - a Connection field was set on an answer that nobody read after it, and the end of a target's cold start was kept and read by nobody; - the name of the platform's settings variable stood in cmd; it is taken from platform, and a start without a file says what is missing.

No change of behaviour meant on the path.

--- a/cmd/mustardmast/main.go
+++ b/cmd/mustardmast/main.go
@@ -10,11 +10,13 @@
 	"syscall"
 
 	"github.com/jessevdk/go-flags"
+	"github.com/pkg/errors"
 
 	"mustardmast/daemon"
 	"mustardmast/io/cli"
 	"mustardmast/io/settings"
 	"mustardmast/io/tick"
+	"mustardmast/platform"
 	"mustardmast/sidecar"
 )
 
@@ -43,11 +45,17 @@
 
 // sidecarCommand runs a node on the users' platform.
 type sidecarCommand struct {
-	Settings string `long:"settings" env:"MUSTARDMAST_BOOT" required:"true" value-name:"FILE" description:"settings file that the platform writes for this process"`
+	Settings string `long:"settings" value-name:"FILE" description:"settings file that the platform writes for this process; without it, the platform's variable in the environment names the file"`
 }
 
 // Execute implements flags.Commander.
 func (c *sidecarCommand) Execute([]string) error {
+	if c.Settings == "" {
+		c.Settings = os.Getenv(platform.SettingsVariable)
+	}
+	if c.Settings == "" {
+		return errors.Errorf("no settings file: give --settings or set %s", platform.SettingsVariable)
+	}
 	s, err := sidecar.New(c.Settings)
 	if err != nil {
 		return err
--- a/core/lifetime/lifetime.go
+++ b/core/lifetime/lifetime.go
@@ -41,7 +41,6 @@
 	ID, Service string
 	Slots       int
 	State       State
-	ColdUntil   time.Time
 }
 
 // Tracker holds the lifetime in force. Its methods may be called concurrently.
@@ -51,7 +50,6 @@
 	mu      sync.Mutex
 	last    Announcement
 	state   State
-	cold    time.Time
 	left    map[string]int64 // start of lifetimes that have left, by id
 	assumed bool             // the id comes from an answer, not from an announcement
 }
@@ -66,7 +64,7 @@
 
 // Announce takes an announcement. It returns false for one that is older than what is known or is about another
 // address.
-func (t *Tracker) Announce(now time.Time, a Announcement) bool {
+func (t *Tracker) Announce(a Announcement) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if a.Address != t.address || t.older(a) {
@@ -76,7 +74,6 @@
 		return false
 	}
 	t.last, t.assumed = a, false
-	t.cold = now.Add(a.Cold)
 	t.state = Ready
 	if a.Draining {
 		t.state = Draining
@@ -143,5 +140,5 @@
 func (t *Tracker) Target() Target {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return Target{ID: t.last.ID, Service: t.last.Service, Slots: t.last.Slots, State: t.state, ColdUntil: t.cold}
+	return Target{ID: t.last.ID, Service: t.last.Service, Slots: t.last.Slots, State: t.state}
 }
--- a/core/lifetime/lifetime_test.go
+++ b/core/lifetime/lifetime_test.go
@@ -3,7 +3,6 @@
 import (
 	"net/netip"
 	"testing"
-	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -11,7 +10,6 @@
 )
 
 var (
-	start   = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
 	address = netip.MustParseAddrPort("10.0.0.1:80")
 )
 
@@ -29,9 +27,9 @@
 // Guards against an announcement that was held up bringing back a lifetime that has ended.
 func TestALateAnnouncementDoesNotReplaceALaterLifetime(t *testing.T) {
 	l := lifetime.New(address)
-	assert.Assert(t, l.Announce(start, beat("old", 1000, 7)))
-	assert.Assert(t, l.Announce(start, beat("new", 2000, 1)))
-	assert.Assert(t, !l.Announce(start, beat("old", 1000, 8)))
+	assert.Assert(t, l.Announce(beat("old", 1000, 7)))
+	assert.Assert(t, l.Announce(beat("new", 2000, 1)))
+	assert.Assert(t, !l.Announce(beat("old", 1000, 8)))
 	state(t, l, "new", lifetime.Ready)
 }
 
@@ -41,21 +39,21 @@
 	l := lifetime.New(address)
 	leaving := beat("a", 1000, 5)
 	leaving.Draining = true
-	assert.Assert(t, l.Announce(start, leaving))
-	assert.Assert(t, !l.Announce(start, beat("a", 1000, 4)))
+	assert.Assert(t, l.Announce(leaving))
+	assert.Assert(t, !l.Announce(beat("a", 1000, 4)))
 	state(t, l, "a", lifetime.Draining)
 	l.Leave("a")
-	assert.Assert(t, !l.Announce(start, beat("a", 1000, 6)))
+	assert.Assert(t, !l.Announce(beat("a", 1000, 6)))
 	state(t, l, "a", lifetime.Gone)
 }
 
 // Guards against a target that starts again under its old id being taken for the lifetime that has ended.
 func TestTheSameIDStartsAgain(t *testing.T) {
 	l := lifetime.New(address)
-	assert.Assert(t, l.Announce(start, beat("a", 1000, 50)))
-	assert.Assert(t, l.Announce(start, beat("a", 3000, 1)), "the sequence begins anew")
+	assert.Assert(t, l.Announce(beat("a", 1000, 50)))
+	assert.Assert(t, l.Announce(beat("a", 3000, 1)), "the sequence begins anew")
 	l.Leave("a")
-	assert.Assert(t, l.Announce(start, beat("a", 4000, 1)))
+	assert.Assert(t, l.Announce(beat("a", 4000, 1)))
 	state(t, l, "a", lifetime.Ready)
 }
 
@@ -64,18 +62,18 @@
 	l := lifetime.New(address)
 	a := beat("a", 1000, 1)
 	a.Address = netip.MustParseAddrPort("10.0.0.2:80")
-	assert.Assert(t, !l.Announce(start, a))
+	assert.Assert(t, !l.Announce(a))
 	state(t, l, "", lifetime.Absent)
 }
 
 // Guards against a target that refused one connection staying out although it announces itself.
 func TestALostTargetComesBackWithItsNextAnnouncement(t *testing.T) {
 	l := lifetime.New(address)
-	assert.Assert(t, l.Announce(start, beat("a", 1000, 1)))
+	assert.Assert(t, l.Announce(beat("a", 1000, 1)))
 	assert.Assert(t, l.Lost("a"))
 	assert.Assert(t, !l.Lost("a"), "only once")
 	state(t, l, "a", lifetime.Gone)
-	assert.Assert(t, l.Announce(start, beat("a", 1000, 2)))
+	assert.Assert(t, l.Announce(beat("a", 1000, 2)))
 	state(t, l, "a", lifetime.Ready)
 }
 
@@ -84,7 +82,7 @@
 	l := lifetime.New(address)
 	assert.Assert(t, l.Assume("a", "watch", 30))
 	state(t, l, "a", lifetime.Ready)
-	assert.Assert(t, l.Announce(start, beat("b", 1000, 1)))
+	assert.Assert(t, l.Announce(beat("b", 1000, 1)))
 	state(t, l, "b", lifetime.Ready)
 	assert.Assert(t, !l.Assume("c", "watch", 30))
 	gone := lifetime.New(address)
--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -267,16 +267,6 @@
 	return m.report, now.Sub(m.reportedAt), true
 }
 
-// Expected returns how long a request usually takes at a host, 0 if nothing is known of it.
-func (r *Roster) Expected(host string) time.Duration {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if m := r.members[host]; m != nil && m.reported {
-		return m.report.Duration
-	}
-	return 0
-}
-
 // Mute takes the news that a host leaves a request without an answer for much longer than usual.
 func (r *Roster) Mute(host string) {
 	r.mu.Lock()
--- a/headers.go
+++ b/headers.go
@@ -18,9 +18,3 @@
 	Running, Waiting, Slots int
 	Slowdown                float64 // duration of work now over its usual duration
 }
-
-// ConnectionFields are the header fields that concern one connection and are never forwarded.
-var ConnectionFields = []string{
-	"Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization", "Te", "Trailer",
-	"Transfer-Encoding", "Upgrade",
-}
--- a/io/announce/announce.go
+++ b/io/announce/announce.go
@@ -78,7 +78,7 @@
 
 func (h *Handler) take(before lifetime.Target, a lifetime.Announcement) {
 	now := time.Now()
-	if !h.tracker.Announce(now, a) {
+	if !h.tracker.Announce(a) {
 		h.log.Write(eventlog.AnnouncementIgnored, zap.String("target", a.ID), zap.String("reason", "older than what is known, or about another address"),
 			zap.Int64("sequence", a.Sequence), zap.Int64("started-ms", a.StartedMS))
 		return
--- a/io/decisions/decisions.go
+++ b/io/decisions/decisions.go
@@ -20,6 +20,7 @@
 	"mustardmast/core/lifetime"
 	"mustardmast/io/eventlog"
 	"mustardmast/io/placement"
+	"mustardmast/io/telemetry"
 )
 
 const (
@@ -30,9 +31,6 @@
 // rejected stands in the place of an error kind for requests that no route or limit allows.
 const rejected = "rejected"
 
-// bounds of the latency histograms in seconds, doubling from 0.5 ms.
-var bounds = metrics.ExponentialBuckets(0.0005, 2, 15)
-
 // limiter lets a number of lines pass in each second.
 type limiter struct {
 	mu     sync.Mutex
@@ -69,9 +67,9 @@
 func New(l *eventlog.Log, set *metrics.Set, behind func(string, uint64), hostDown, lost func(string, error)) *Recorder {
 	return &Recorder{
 		log: l, set: set, behind: behind, hostDown: hostDown, lost: lost,
-		latency: set.NewPrometheusHistogramExt("mustardmast_request_duration_seconds", bounds),
-		wait:    set.NewPrometheusHistogramExt("mustardmast_slot_wait_seconds", bounds),
-		run:     set.NewPrometheusHistogramExt("mustardmast_target_duration_seconds", bounds),
+		latency: set.NewPrometheusHistogramExt("mustardmast_request_duration_seconds", telemetry.LatencyBounds),
+		wait:    set.NewPrometheusHistogramExt("mustardmast_slot_wait_seconds", telemetry.LatencyBounds),
+		run:     set.NewPrometheusHistogramExt("mustardmast_target_duration_seconds", telemetry.LatencyBounds),
 		limited: set.NewCounter("mustardmast_log_lines_limited_total"),
 	}
 }
--- a/io/fleet/fleet.go
+++ b/io/fleet/fleet.go
@@ -2,9 +2,9 @@
 //
 // The platform's store serves for first contact: each node enters its address there at its start, reads the entries of
 // the others, and introduces itself to each of them. From then on nodes tell each other what changes, and a node that
-// cannot be reached is tried again directly. The configuration comes by a watch on the store; every message between
-// nodes carries the version of its sender, and a node that is behind fetches the configuration from the one that is
-// ahead.
+// cannot be reached is tried again directly. The configuration comes by a watch on the store; every reply and
+// every exchange of news carries the version of its sender, and a node that is behind fetches the configuration from the
+// one that is ahead.
 package fleet
 
 import (
@@ -198,12 +198,12 @@
 	f.exchange(r, hostlink.News{From: f.roster.Self(), Version: f.Version()})
 }
 
-// compare compares the known hosts with those of another node.
+// compare compares the known hosts with those of another node, taken at random.
 func (f *Fleet) compare() {
-	records, self := f.roster.Records(), f.roster.Self()
-	others := slices.DeleteFunc(slices.Clone(records), func(r roster.Record) bool { return r.Host == self.Host })
+	self := f.roster.Self().Host
+	others := slices.DeleteFunc(f.roster.Records(), func(r roster.Record) bool { return r.Host == self })
 	if len(others) > 0 {
-		f.exchange(others[rand.IntN(len(others))], hostlink.News{From: self, Version: f.Version(), Digest: digest(records)})
+		f.compareWith(others[rand.IntN(len(others))])
 	}
 }
 
@@ -250,7 +250,7 @@
 	return answer
 }
 
-// compareWith asks a host for all that it knows, when the store could not be read yet.
+// compareWith asks a host for all that it knows, if that differs from what this node knows.
 func (f *Fleet) compareWith(r roster.Record) {
 	f.exchange(r, hostlink.News{From: f.roster.Self(), Version: f.Version(), Digest: digest(f.roster.Records())})
 }
--- a/io/hostlink/hostlink_test.go
+++ b/io/hostlink/hostlink_test.go
@@ -41,7 +41,7 @@
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
-	s := hostlink.NewServer(n, n, func(uint64) {}).HTTP()
+	s := hostlink.NewServer(n, n).HTTP()
 	go func() { _ = s.Serve(l) }()
 	t.Cleanup(func() { _ = s.Close() })
 	c := hostlink.NewClient(net.IPv4(127, 0, 0, 1))
--- a/io/hostlink/server.go
+++ b/io/hostlink/server.go
@@ -9,6 +9,7 @@
 	"mustardmast"
 	"mustardmast/core/fault"
 	"mustardmast/core/roster"
+	"mustardmast/io/message"
 )
 
 const (
@@ -17,7 +18,6 @@
 	linkHost     = "mustardmast-node" // host name of the requests that are for the node itself
 	mostStreams  = 4000               // calls at a time from one other node
 	mostExchange = 4 << 20            // bytes
-	copyBuffer   = 32 << 10
 )
 
 // News is what nodes tell each other of the hosts.
@@ -82,13 +82,11 @@
 type Server struct {
 	executor mustardmast.Executor
 	gossip   Gossip
-	version  func(uint64)
 }
 
-// NewServer returns a server that runs calls on an executor. Version is told of the configuration version that each
-// call was routed by.
-func NewServer(e mustardmast.Executor, g Gossip, version func(uint64)) *Server {
-	return &Server{executor: e, gossip: g, version: version}
+// NewServer returns a server that runs calls on an executor.
+func NewServer(e mustardmast.Executor, g Gossip) *Server {
+	return &Server{executor: e, gossip: g}
 }
 
 // HTTP returns the HTTP server. It speaks HTTP/2 without encryption.
@@ -131,7 +129,6 @@
 		writeError(w, fault.Wrap(err, fault.BadRequest, "call of another node"))
 		return
 	}
-	s.version(c.Version)
 	reply, report, err := s.executor.Execute(r.Context(), c)
 	w.Header()[fieldReport] = []string{encodeReport(report)}
 	w.Header()["Date"] = nil
@@ -148,10 +145,7 @@
 		w.Header().Del("Content-Length") // of a body that is not sent
 	}
 	w.WriteHeader(reply.Status)
-	if _, err := io.CopyBuffer(onlyWriter{w}, reply.Body, make([]byte, copyBuffer)); err != nil {
+	if _, err := message.Copy(w, reply.Body, reply.Length); err != nil {
 		panic(http.ErrAbortHandler) // resets the stream, so that the answer does not look complete
 	}
 }
-
-// onlyWriter hides ReadFrom, so that the given buffer is used.
-type onlyWriter struct{ io.Writer }
--- a/io/ingress/ingress.go
+++ b/io/ingress/ingress.go
@@ -11,7 +11,6 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
-	"net/textproto"
 	"os"
 	"strconv"
 	"strings"
@@ -26,6 +25,7 @@
 	"mustardmast/core/returning"
 	"mustardmast/core/routing"
 	"mustardmast/io/localtarget"
+	"mustardmast/io/message"
 	"mustardmast/io/placement"
 )
 
@@ -34,7 +34,6 @@
 	wholeBody = 512 << 10
 	// heldBodies bounds the bodies that are held at a time; above it bodies are passed on as they come.
 	heldBodies = 24 << 20
-	copyBuffer = 32 << 10
 	// holdPart is the part of the time in which an answer is worth most that a request may wait for a slot.
 	holdPart  = 0.2
 	leastHold = 8 * time.Millisecond
@@ -201,17 +200,7 @@
 // forwarded returns the fields that go to the target.
 func (h *Handler) forwarded(in http.Header) http.Header {
 	out := make(http.Header, len(in)+1)
-	for name, values := range in {
-		out[name] = values
-	}
-	for _, field := range in["Connection"] {
-		for _, name := range strings.Split(field, ",") {
-			out.Del(textproto.TrimString(name))
-		}
-	}
-	for _, name := range mustardmast.ConnectionFields {
-		delete(out, name)
-	}
+	message.CopyHeader(out, in)
 	n := h.parts.Names
 	for _, name := range []string{"Content-Length", "Expect", n.TimeLeft, n.Expected} {
 		out.Del(name)
@@ -321,12 +310,9 @@
 		w.Header().Set("Content-Length", strconv.FormatInt(r.Length, 10))
 	}
 	w.WriteHeader(r.Status)
-	_, err := io.CopyBuffer(onlyWriter{w}, r.Body, make([]byte, min(copyBuffer, max(512, r.Length+1))))
+	_, err := message.Copy(w, r.Body, r.Length)
 	if errors.Is(err, http.ErrBodyNotAllowed) {
 		return nil
 	}
 	return err
 }
-
-// onlyWriter hides ReadFrom, so that the given buffer is used.
-type onlyWriter struct{ io.Writer }
--- a/io/localtarget/localtarget_test.go
+++ b/io/localtarget/localtarget_test.go
@@ -65,7 +65,7 @@
 }
 
 func (f *fixture) announce(id string, started int64, leaving bool) {
-	f.tracker.Announce(time.Now(), lifetime.Announcement{ID: id, Service: "watch", Address: f.address, Slots: 1, Sequence: time.Now().UnixNano(), StartedMS: started, Draining: leaving})
+	f.tracker.Announce(lifetime.Announcement{ID: id, Service: "watch", Address: f.address, Slots: 1, Sequence: time.Now().UnixNano(), StartedMS: started, Draining: leaving})
 }
 
 func (f *fixture) ran() []string {
--- a/io/message/hop.go
+++ b/io/message/hop.go
@@ -15,7 +15,7 @@
 
 // CopyHeader copies the headers that are meant for the far end from one message to another.
 func CopyHeader(to, from http.Header) {
-	named := strings.Split(from.Get("Connection"), ",")
+	named := strings.Split(strings.Join(from["Connection"], ","), ",")
 	for k, v := range from {
 		to[k] = append([]string(nil), v...)
 	}
--- a/io/placement/attempt.go
+++ b/io/placement/attempt.go
@@ -62,9 +62,9 @@
 	if a.offers++; a.body != nil {
 		a.call.Body = a.body()
 	}
-	ctx, cancel := context.WithCancel(ctx)
-	defer a.watch(cancel, host.Host)()
 	known, age, _ := p.roster.News(began, host.Host)
+	ctx, cancel := context.WithCancel(ctx)
+	defer a.watch(cancel, host.Host, known.Duration)()
 	p.roster.Sent(began, host.Host)
 	defer p.roster.Ended(host.Host)
 	var reply *mustardmast.TargetReply
@@ -130,10 +130,9 @@
 }
 
 // watch ends an offer of a repeatable call that takes much longer than usual, if another target may be asked. The
-// function that it returns ends the watch.
-func (a *attempt) watch(cancel func(), host string) func() {
+// function that it returns ends the watch. Usual is 0 if it is not known.
+func (a *attempt) watch(cancel func(), host string, usual time.Duration) func() {
 	a.mute.Store(false)
-	usual := a.placer.roster.Expected(host)
 	patience := max(leastMute, muteDurations*usual+a.call.Hold)
 	if !a.call.Repeatable || a.body == nil || usual == 0 || len(a.reached) >= a.most-1 ||
 		patience > time.Duration(mostMute*float64(time.Until(a.call.Deadline))) {
--- a/io/targetconn/exchange.go
+++ b/io/targetconn/exchange.go
@@ -15,6 +15,7 @@
 
 	"mustardmast"
 	"mustardmast/core/fault"
+	"mustardmast/io/message"
 )
 
 // closedError marks a connection that ended before the first byte of an answer.
@@ -117,14 +118,14 @@
 }
 
 func copyBody(cn *conn, c *mustardmast.TargetCall) error {
-	buffer := make([]byte, copyBuffer)
 	if c.Length >= 0 {
-		n, err := io.CopyBuffer(onlyWriter{cn}, io.LimitReader(c.Body, c.Length), buffer)
+		n, err := message.Copy(cn, io.LimitReader(c.Body, c.Length), c.Length)
 		if err == nil && n < c.Length {
 			err = io.ErrUnexpectedEOF
 		}
 		return err
 	}
+	buffer := make([]byte, copyBuffer)
 	for {
 		n, err := c.Body.Read(buffer)
 		if n > 0 {
@@ -142,9 +143,6 @@
 	}
 }
 
-// onlyWriter hides ReadFrom, so that the given buffer is used.
-type onlyWriter struct{ io.Writer }
-
 // answer reads the answer to a call. Answers to earlier calls on the connection are passed over.
 func (p *Pool) answer(cn *conn, c *mustardmast.TargetCall) (*http.Response, error) {
 	request := &http.Request{Method: c.Method}
@@ -182,21 +180,17 @@
 	cn.idleFor = idleTime(resp.Header.Get("Keep-Alive"))
 	body := &replyBody{pool: p, conn: cn, resp: resp, upload: u, stop: stop}
 	if p.notExecuted(resp) {
-		_, err := io.Copy(io.Discard, io.LimitReader(body, readBuffer))
+		// The head alone is the promise. The rest is read so that the connection can be used again, and need not be whole.
+		_, _ = io.Copy(io.Discard, io.LimitReader(body, readBuffer))
 		_ = body.Close()
-		if err != nil && resp.StatusCode != http.StatusMisdirectedRequest {
-			// The head alone is the promise; the rest of the answer says nothing more.
-			resp.Header.Set("Connection", "close")
-		}
 		if resp.StatusCode == http.StatusMisdirectedRequest {
 			return nil, fault.New(fault.WrongIncarnation, "another lifetime has the address: "+resp.Header.Get(p.names.Lifetime))
 		}
 		return nil, fault.Newf(fault.TargetRefused, "status %d of the target", resp.StatusCode)
 	}
-	for _, name := range mustardmast.ConnectionFields {
-		resp.Header.Del(name)
-	}
-	return &mustardmast.TargetReply{Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength, Body: body}, nil
+	header := make(http.Header, len(resp.Header))
+	message.CopyHeader(header, resp.Header)
+	return &mustardmast.TargetReply{Status: resp.StatusCode, Header: header, Length: resp.ContentLength, Body: body}, nil
 }
 
 func idleTime(keepAlive string) time.Duration {
--- a/io/targetconn/targetconn.go
+++ b/io/targetconn/targetconn.go
@@ -33,7 +33,7 @@
 	answerGrace = 150 * time.Millisecond
 	// inlineBody is the largest body that is sent in one write with its head.
 	inlineBody = 16 << 10
-	copyBuffer = 32 << 10
+	copyBuffer = 32 << 10 // bytes of one chunk of a body whose length is not known
 	readBuffer = 4 << 10
 	// mostForeign bounds the answers to earlier requests that are passed over.
 	mostForeign = 4
--- a/io/telemetry/telemetry.go
+++ b/io/telemetry/telemetry.go
@@ -16,9 +16,9 @@
 	"mustardmast/core/fault"
 )
 
-// Bounds of the latency histogram in seconds. They double from 0.5 ms, the most that a node may add to a call, to above
+// LatencyBounds are those of latency histograms in seconds. They double from 0.5 ms, the most that a node may add to a call, to above
 // the default deadline of 5 s.
-var bounds = metrics.ExponentialBuckets(0.0005, 2, 15)
+var LatencyBounds = metrics.ExponentialBuckets(0.0005, 2, 15)
 
 const outcomes = 3
 
@@ -37,7 +37,7 @@
 func New(set *metrics.Set) *Calls {
 	return &Calls{
 		set: set, calls: make([][outcomes]atomic.Pointer[metrics.Counter], len(fault.Kinds())+1),
-		latency:     set.GetOrCreatePrometheusHistogramExt("mustardmast_call_duration_seconds", bounds),
+		latency:     set.GetOrCreatePrometheusHistogramExt("mustardmast_call_duration_seconds", LatencyBounds),
 		retries:     set.GetOrCreateCounter("mustardmast_retries_total"),
 		hedges:      set.GetOrCreateCounter("mustardmast_hedges_total"),
 		silent:      set.GetOrCreateCounter("mustardmast_silent_connections_closed_total"),
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -89,7 +89,7 @@
 		server  *http.Server
 	}{
 		{"callers", conf.Callers(), plainServer(s.ingress)},
-		{"peers", peerAddress, hostlink.NewServer(s.executor, s.fleet, func(uint64) {}).HTTP()},
+		{"peers", peerAddress, hostlink.NewServer(s.executor, s.fleet).HTTP()},
 		{"announcements", conf.Announcements(), plainServer(s.announcements())},
 		{"readiness", conf.Readiness(), plainServer(http.HandlerFunc(s.readiness))},
 		{"metrics", netip.AddrPortFrom(conf.IP(), conf.MetricsPort()), plainServer(http.HandlerFunc(s.metrics))},
