io/placement: another target is asked beside a slow one, not in its place

A share-balance request ran on its target for 180 ms, seven times the usual and more; the watch for mute targets cancelled that run and offered the request elsewhere. No other target took it, and the caller got 502 for a request whose target was at work on it.

Change: the second offer runs beside the first. The first good answer counts and only then is the other run given up; if the second fails or is refused, the first is waited for.

TestASlowRunIsNotCutForATargetThatRefuses failed with that 502 before and passes; the test of the mute target passes as it was.

--- a/io/placement/answer.go
+++ b/io/placement/answer.go
@@ -9,10 +9,9 @@
 	"mustardmast/core/fault"
 )
 
-// whole reads an answer to its end if it is not too large. It calls done when nothing more is read from its target.
-func whole(ctx context.Context, r *mustardmast.TargetReply, done func()) (*mustardmast.TargetReply, error) {
+// whole reads an answer to its end if it is not too large.
+func whole(ctx context.Context, r *mustardmast.TargetReply) (*mustardmast.TargetReply, error) {
 	if r.Length > wholeAnswer {
-		r.Body = &rest{Reader: r.Body, Closer: r.Body, done: done}
 		return r, nil
 	}
 	var b bytes.Buffer
@@ -22,17 +21,15 @@
 	n, err := b.ReadFrom(io.LimitReader(r.Body, wholeAnswer))
 	if err != nil {
 		_ = r.Body.Close() // the read has failed already
-		defer done()
 		if ctx.Err() != nil {
 			return nil, fault.Wrap(ctx.Err(), fault.DeadlineExceeded, "while the answer was read")
 		}
 		return nil, fault.Wrap(err, fault.AnswerCut, "the answer broke off")
 	}
 	if n == wholeAnswer {
-		r.Body = &rest{Reader: io.MultiReader(&b, r.Body), Closer: r.Body, done: done}
+		r.Body = &rest{Reader: io.MultiReader(&b, r.Body), Closer: r.Body, done: func() {}}
 		return r, nil
 	}
-	defer done()
 	if err := r.Body.Close(); err != nil && r.Length > n {
 		return nil, fault.Wrap(err, fault.AnswerCut, "the answer broke off")
 	}
--- a/io/placement/attempt.go
+++ b/io/placement/attempt.go
@@ -3,8 +3,8 @@
 import (
 	"context"
 	"io"
+	"maps"
 	"net/http"
-	"sync/atomic"
 	"time"
 
 	"mustardmast"
@@ -21,13 +21,12 @@
 	met     func(level float64)
 	most    int             // targets that the call may reach
 	reached map[string]bool // hosts whose targets the call has reached
-	mute    atomic.Bool     // the present offer was given up for another target
 	mayRun  bool
 	offers  int
 	pauses  int
 	exclude map[string]bool
 	last    error
-	asked   atomic.Bool              // the allowance has been asked for a repeat
+	asked   bool                     // the allowance has been asked for a repeat
 	nested  bool                     // the last run made calls of its own
 	kept    *mustardmast.TargetReply // an answer that failed, given if no other target answers
 }
@@ -56,68 +55,187 @@
 	return roster.Record{}, false
 }
 
-// offer sends the call to the node of a host.
+// outcome is what came of one offer.
+type outcome struct {
+	host   string
+	reply  *mustardmast.TargetReply
+	nested bool // the run made calls of its own
+	err    error
+}
+
+// good reports whether the outcome is an answer that goes to the caller as it is.
+func (o outcome) good() bool { return o.err == nil && o.reply.Status < http.StatusInternalServerError }
+
+// offer sends the call to the node of a host. A repeatable call that takes much longer than usual is sent to another one
+// beside it; the first good answer counts, and the other run is given up.
 func (a *attempt) offer(ctx context.Context, host roster.Record) (*mustardmast.TargetReply, error) {
-	p, began := a.placer, time.Now()
-	if a.offers++; a.body != nil {
-		a.call.Body = a.body()
+	news, _, _ := a.placer.roster.News(time.Now(), host.Host)
+	patience := max(leastMute, muteDurations*news.Duration+a.call.Hold)
+	if !a.call.Repeatable || a.body == nil || news.Duration == 0 || len(a.reached) >= a.most-1 ||
+		patience > time.Duration(mostMute*float64(time.Until(a.call.Deadline))) {
+		o := a.send(ctx, host, a.number(), a.copy())
+		a.learn(o)
+		return o.reply, o.err
 	}
-	known, age, _ := p.roster.News(began, host.Host)
+	first := a.start(ctx, host)
+	timer := time.NewTimer(patience)
+	defer timer.Stop()
+	select {
+	case o := <-first.outcome:
+		a.learn(o)
+		return o.reply, o.err
+	case <-timer.C:
+	}
+	other, ok := a.other(host)
+	if !ok {
+		o := <-first.outcome
+		a.learn(o)
+		return o.reply, o.err
+	}
+	return a.race(first, a.start(ctx, other))
+}
+
+// other returns another host that the call may be sent to beside the first one.
+func (a *attempt) other(first roster.Record) (roster.Record, bool) {
+	exclude := map[string]bool{first.Host: true}
+	maps.Copy(exclude, a.exclude)
+	now := time.Now()
+	host, ok := a.placer.roster.Choose(now, roster.Choice{Service: a.call.Service, Bulky: a.call.Length > bulky, Exclude: exclude})
+	if !ok || !a.granted(now) {
+		return roster.Record{}, false
+	}
+	a.call.Repeat = true
+	return host, true
+}
+
+// race waits for the first good answer of two offers. If there is none, it returns what came last.
+func (a *attempt) race(first, second *pending) (*mustardmast.TargetReply, error) {
+	var o outcome
+	left := second
+	select {
+	case o = <-first.outcome:
+	case o = <-second.outcome:
+		left = first
+		if o.good() {
+			a.placer.roster.Mute(first.host)
+		}
+	}
+	a.learn(o)
+	if o.good() {
+		left.giveUp()
+		return o.reply, nil
+	}
+	failed := o
+	o = <-left.outcome
+	a.learn(o)
+	if o.err != nil && failed.err == nil {
+		return failed.reply, nil // an answer that failed tells more than an error
+	}
+	if o.err != nil && fault.From(failed.err).Outcome() != fault.NotExecuted {
+		a.mayRun = true
+	}
+	return o.reply, o.err
+}
+
+// pending is an offer under way.
+type pending struct {
+	host    string
+	cancel  context.CancelFunc
+	outcome chan outcome
+}
+
+// start sends the call to the node of a host beside others.
+func (a *attempt) start(ctx context.Context, host roster.Record) *pending {
 	ctx, cancel := context.WithCancel(ctx)
-	defer a.watch(cancel, host.Host, known.Duration)()
+	p := &pending{host: host.Host, cancel: cancel, outcome: make(chan outcome, 1)}
+	number, c := a.number(), a.copy()
+	go func() {
+		o := a.send(ctx, host, number, c)
+		if o.err != nil {
+			cancel()
+		} else {
+			o.reply.Body = &rest{Reader: o.reply.Body, Closer: o.reply.Body, done: cancel}
+		}
+		p.outcome <- o
+	}()
+	return p
+}
+
+// giveUp ends an offer whose answer is not needed.
+func (p *pending) giveUp() {
+	p.cancel()
+	go func() {
+		if o := <-p.outcome; o.err == nil {
+			_ = o.reply.Body.Close() // nobody reads it
+		}
+	}()
+}
+
+func (a *attempt) number() int {
+	a.offers++
+	return a.offers
+}
+
+// copy returns the call with a body from its start.
+func (a *attempt) copy() mustardmast.TargetCall {
+	c := *a.call
+	if a.body != nil {
+		c.Body = a.body()
+	}
+	return c
+}
+
+// send sends a copy of the call to the node of a host. It changes nothing of the attempt, so that two may be under way.
+func (a *attempt) send(ctx context.Context, host roster.Record, number int, c mustardmast.TargetCall) outcome {
+	p, began := a.placer, time.Now()
+	known, age, _ := p.roster.News(began, host.Host)
 	p.roster.Sent(began, host.Host)
 	defer p.roster.Ended(host.Host)
-	var reply *mustardmast.TargetReply
+	o := outcome{host: host.Host}
 	var report mustardmast.TargetReport
-	var err error
 	reported := true
 	if host.Host == p.roster.Self().Host {
-		reply, report, err = p.local.Execute(ctx, a.call)
+		o.reply, report, o.err = p.local.Execute(ctx, &c)
 	} else {
-		reply, report, reported, err = p.link.Execute(ctx, host.Address, a.call)
+		o.reply, report, reported, o.err = p.link.Execute(ctx, host.Address, &c)
 	}
-	if err == nil {
-		reply, err = whole(ctx, reply, cancel)
-	} else {
-		cancel()
+	if o.err == nil {
+		o.reply, o.err = whole(ctx, o.reply)
 	}
 	now, status := time.Now(), 0
-	if err == nil {
-		status = reply.Status
+	if o.err == nil {
+		status = o.reply.Status
 	}
-	a.nested = reported && report.Nested
+	o.nested = reported && report.Nested
 	if reported {
-		p.roster.Replied(now, host.Host, report, err == nil || ran(err), status >= http.StatusInternalServerError && !report.Nested || failed(err))
+		broken := status >= http.StatusInternalServerError && !report.Nested || failed(o.err)
+		p.roster.Replied(now, host.Host, report, o.err == nil || ran(o.err), broken)
 		a.observe(now, report.Level)
-		if report.Version > a.call.Version {
+		if report.Version > c.Version {
 			p.observer.Behind(host.Host, report.Version)
 		}
 	}
-	if unreachable(err) && p.roster.Down(now, host.Host) {
-		p.observer.HostDown(host.Host, err)
-	}
-	p.observer.Placed(a.call, Offer{Host: host.Host, Number: a.offers, Report: known, Age: age, Status: status, Err: err, Took: now.Sub(began)})
-	if err != nil && a.mute.Load() {
-		p.roster.Mute(host.Host)
-		err = fault.Wrap(err, fault.TargetFailed, "no answer in time")
+	if unreachable(o.err) && p.roster.Down(now, host.Host) {
+		p.observer.HostDown(host.Host, o.err)
 	}
-	a.learn(host.Host, err)
-	return reply, err
+	p.observer.Placed(&c, Offer{Host: host.Host, Number: number, Report: known, Age: age, Status: status, Err: o.err, Took: now.Sub(began)})
+	return o
 }
 
 // learn notes whether the call has reached the target of a host, and whether the host may be asked again.
-func (a *attempt) learn(host string, err error) {
-	if err == nil {
-		a.reached[host] = true
+func (a *attempt) learn(o outcome) {
+	a.nested = o.nested
+	if o.err == nil {
+		a.reached[o.host] = true
 		return
 	}
-	switch f := fault.From(err); {
+	switch f := fault.From(o.err); {
 	case f.Kind() == fault.TargetRefused:
-		a.reached[host] = true // by chance it takes the call the next time
+		a.reached[o.host] = true // by chance it takes the call the next time
 	case f.Kind() == fault.WrongIncarnation || f.Outcome() != fault.NotExecuted:
-		a.reached[host], a.exclude[host] = true, true
+		a.reached[o.host], a.exclude[o.host] = true, true
 	default:
-		a.exclude[host] = true
+		a.exclude[o.host] = true
 	}
 }
 
@@ -129,25 +247,6 @@
 	return nil
 }
 
-// watch ends an offer of a repeatable call that takes much longer than usual, if another target may be asked. The
-// function that it returns ends the watch. Usual is 0 if it is not known.
-func (a *attempt) watch(cancel func(), host string, usual time.Duration) func() {
-	a.mute.Store(false)
-	patience := max(leastMute, muteDurations*usual+a.call.Hold)
-	if !a.call.Repeatable || a.body == nil || usual == 0 || len(a.reached) >= a.most-1 ||
-		patience > time.Duration(mostMute*float64(time.Until(a.call.Deadline))) {
-		return func() {}
-	}
-	timer := time.AfterFunc(patience, func() {
-		other := roster.Choice{Service: a.call.Service, Exclude: map[string]bool{host: true}}
-		if _, ok := a.placer.roster.Choose(time.Now(), other); ok && a.granted(time.Now()) {
-			a.mute.Store(true)
-			cancel()
-		}
-	})
-	return func() { timer.Stop() }
-}
-
 // observe takes the level that the node beside a target told.
 func (a *attempt) observe(now time.Time, level float64) {
 	a.placer.levels.Observe(now, a.call.Route, level)
@@ -212,10 +311,6 @@
 		return true
 	}
 	a.mayRun = true
-	if a.mute.Load() {
-		a.call.Repeat = true // the allowance has granted it already
-		return true
-	}
 	return a.call.Repeatable && len(a.reached) < a.most && a.repeat(time.Now())
 }
 
@@ -230,7 +325,8 @@
 
 // granted takes one repeat from the allowance of all nodes.
 func (a *attempt) granted(now time.Time) bool {
-	r := allowance.Repeat{Standing: allowance.Standing(a.call.Priority, a.call.ID), Again: a.asked.Swap(true)}
+	r := allowance.Repeat{Standing: allowance.Standing(a.call.Priority, a.call.ID), Again: a.asked}
+	a.asked = true
 	return a.placer.allowance.Take(now, a.call.Service, a.placer.roster.Size(), r)
 }
 
--- a/io/placement/placement.go
+++ b/io/placement/placement.go
@@ -21,7 +21,7 @@
 	// mostPlaces bounds the offers of one call to nodes.
 	mostPlaces = 5
 	// muteDurations is how many times its usual duration a repeatable call may take, beside its wait for a slot, before
-	// another target is asked, and leastMute the least time. Noisy neighbours and cold starts stretch the duration by less.
+	// another target is asked beside the first, and leastMute the least time. Noisy neighbours and cold starts stretch the duration by less.
 	muteDurations = 7
 	leastMute     = 180 * time.Millisecond
 	// mostMute is the part of the time left that may pass before that, so that there is time for the other one.
--- a/sidecar/load_test.go
+++ b/sidecar/load_test.go
@@ -83,3 +83,37 @@
 		assert.Assert(t, time.Since(began) < time.Second)
 	}
 }
+
+// Guards against a run that is only slow being cut because another target was asked beside it and did not take the
+// request: the slow target is at work on the answer.
+func TestASlowRunIsNotCutForATargetThatRefuses(t *testing.T) {
+	c := newCluster(t)
+	entry, slow, refusing := c.add("ledger", "a"), c.add("board", "a"), c.add("board", "b")
+	for range 40 { // until the node knows how long requests take
+		_, resp, _ := entry.send("GET", "/board/", nil, nil)
+		assert.Equal(t, resp.StatusCode, http.StatusOK)
+	}
+	var cut atomic.Int64
+	slow.target.answer(func(w http.ResponseWriter, r *http.Request) {
+		select {
+		case <-time.After(700 * time.Millisecond):
+			_, _ = io.WriteString(w, "slow but well")
+		case <-r.Context().Done():
+			cut.Add(1)
+		}
+	})
+	refusing.target.answer(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Not-Executed", "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+	})
+	for range 8 {
+		id, resp, got := entry.send("GET", "/board/", nil, nil)
+		if slow.target.ran(id) == 0 {
+			continue // refused by the other target first, and not allowed a repeat
+		}
+		assert.Equal(t, resp.StatusCode, http.StatusOK)
+		assert.Equal(t, got, "slow but well")
+		assert.Equal(t, slow.target.ran(id), 1)
+	}
+	assert.Equal(t, cut.Load(), int64(0))
+}
