sidecar, io/ingress: a node that stops turns new requests away once clients had time to go elsewhere

Where fewer than half of a domain's nodes are in, clients go on sending to a node that stops, and it took every request until the last moment of its grace period; the end of the process then cut requests that had just begun.

Change: after the time that clients need to notice (2.5 s, at most half of the grace period) new requests get 503 with the time until a new process is up; what is under way ends as before. A node that has nothing left to do ends then.

TestClientsThatGoOnDuringAPlannedStop replays it with ten such clients; on the code before, its requests were cut or none was refused.

--- a/io/ingress/ingress.go
+++ b/io/ingress/ingress.go
@@ -44,6 +44,8 @@
 	returnFrom, returnTo = 0.3, 0.5
 	mostReturn           = 1.0 / 3
 	leastReturn          = 20 * time.Millisecond
+	// restartPause is when a caller returns that was turned away because the node stops. A new one starts within a second.
+	restartPause = time.Second
 	// returnedKept multiplies the share that is let through for callers that come back.
 	returnedKept = 3
 	// answerMargin is taken off the route's timeout, so that the answer is out by then.
@@ -69,7 +71,8 @@
 	Callers  *returning.Callers
 	Runs     *localtarget.Executor // of the target, whose requests belong to its runs
 	Observer Observer
-	Leaving  func() bool
+	Leaving  func() bool // connections are closed after their answer
+	Closing  func() bool // new requests of clients are turned away
 }
 
 // Handler implements http.Handler.
@@ -249,6 +252,9 @@
 // place sheds a request or takes it to a target.
 func (h *Handler) place(ctx context.Context, q *request) (*mustardmast.TargetReply, error) {
 	if !q.call.Inner {
+		if h.parts.Closing() {
+			return nil, fault.New(fault.Draining, "the node of this host stops").WithRetryAfter(restartPause)
+		}
 		now := time.Now()
 		level := h.parts.Levels.Level(now, q.call.Route)
 		kept := pressure.Kept(level, q.call.Rank)
--- a/sidecar/load_test.go
+++ b/sidecar/load_test.go
@@ -117,3 +117,49 @@
 	}
 	assert.Equal(t, cut.Load(), int64(0))
 }
+
+// Replays clients that go on sending to a node that stops, as they do where too few other nodes of their domain are in.
+// Guards against requests that are taken so late in the stop that the end of the process cuts them.
+func TestClientsThatGoOnDuringAPlannedStop(t *testing.T) {
+	c := newCluster(t)
+	entry, board := c.add("ledger", "a"), c.add("board", "a")
+	board.target.answer(func(w http.ResponseWriter, _ *http.Request) {
+		time.Sleep(400 * time.Millisecond)
+		_, _ = io.WriteString(w, "done")
+	})
+	var wg sync.WaitGroup
+	var served, refused, unread, cut atomic.Int64
+	for range 10 {
+		wg.Go(func() {
+			for ended := false; !ended; {
+				select {
+				case <-entry.ended:
+					ended = true
+				default:
+				}
+				_, resp, text := entry.send("GET", "/board/", nil, nil)
+				switch {
+				case resp.StatusCode == http.StatusOK && text == "done":
+					served.Add(1)
+				case resp.StatusCode == http.StatusServiceUnavailable && resp.Header.Get("Retry-After") != "":
+					refused.Add(1)
+				case strings.Contains(text, "connection refused"):
+					unread.Add(1) // it was not read, so the client may try again
+				default:
+					cut.Add(1)
+					t.Errorf("status %d, %.100s", resp.StatusCode, text)
+				}
+				time.Sleep(5 * time.Millisecond)
+			}
+		})
+	}
+	time.Sleep(300 * time.Millisecond)
+	began := time.Now()
+	entry.stop()
+	<-entry.ended
+	took := time.Since(began)
+	wg.Wait()
+	t.Logf("served %d, refused %d, not read %d, cut %d, stop took %v", served.Load(), refused.Load(), unread.Load(), cut.Load(), took)
+	assert.Assert(t, took < soakGrace, "%v", took)
+	assert.Assert(t, refused.Load() > 0)
+}
--- a/sidecar/providers.go
+++ b/sidecar/providers.go
@@ -108,6 +108,6 @@
 ) *ingress.Handler {
 	return ingress.New(ingress.Parts{
 		Names: platform.Headers(), Host: s.Load().Host(), Service: func() string { return s.Load().Service() },
-		Table: f.Table, Placer: p, Levels: l, Callers: c, Runs: e, Observer: o, Leaving: n.leaving.Load,
+		Table: f.Table, Placer: p, Levels: l, Callers: c, Runs: e, Observer: o, Leaving: n.leaving.Load, Closing: n.closing.Load,
 	})
 }
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -36,7 +36,8 @@
 	memoryPart = 0.5
 	// heapGrowth is the percentage by which the heap grows between two collections. Memory is billed.
 	heapGrowth = 60
-	// noticePeriod is the time until clients go elsewhere: the platform asks once a second, and two misses count.
+	// noticePeriod is the time until clients go elsewhere: the platform asks once a second, and two misses count. Those
+	// that come later are turned away, so that their requests have not begun when the process ends.
 	noticePeriod = 2500 * time.Millisecond
 	// lastAnswers is left before the end of the grace period for answers that are under way.
 	lastAnswers = 300 * time.Millisecond
@@ -217,6 +218,7 @@
 	s.news.leaving.Store(true)
 	s.executor.Leave()
 	s.log.Write(eventlog.Stopping, zap.Int64("requests", s.ingress.Active()), zap.Int64("calls", s.executor.Active()))
+	notice := min(noticePeriod, s.settings.Load().Grace()/2)
 	state := s.tracker.Target().State
 	told := make(chan struct{})
 	go func() {
@@ -224,7 +226,8 @@
 		s.fleet.Leave(state == lifetime.Gone || state == lifetime.Draining)
 	}()
 	for now := began; now.Before(end); now = time.Now() {
-		if now.Sub(began) > noticePeriod && s.ingress.Active() == 0 && s.executor.Active() == 0 {
+		s.news.closing.Store(now.Sub(began) > notice)
+		if now.Sub(began) > notice && s.ingress.Active() == 0 && s.executor.Active() == 0 {
 			break
 		}
 		time.Sleep(stopPoll)
--- a/sidecar/targetnews.go
+++ b/sidecar/targetnews.go
@@ -16,6 +16,7 @@
 	tracker *lifetime.Tracker
 	log     *eventlog.Log
 	leaving atomic.Bool // the node takes no more work for its target
+	closing atomic.Bool // nor new requests of clients
 }
 
 func newTargetNews(f *fleet.Fleet, t *lifetime.Tracker, l *eventlog.Log) *targetNews {
