core/member: a node checks hearsay about its own failure domain at once

Traffic from domain b to domain a was cut, so a suspected b's members and gossiped that to b, whose nodes believed it until somebody happened to ping the member concerned: it refuted at 16.5 s what its neighbours had heard seconds before. Meanwhile b's calls went to a, or to anyone.

Change: who hears a doubt about a member of its own domain pings it at once. The ping carries the doubt, so the ack refutes it.

TestDeafNodeDoesNotMakeOthersFlap compared 50 s of its naive variant with 60 s of the protocol. Both run for a minute; the bound is as it was.

--- a/core/member/members.go
+++ b/core/member/members.go
@@ -4,7 +4,9 @@
 // The protocol is SWIM with a full view. Once a period a node pings one member, in an order that visits everybody.
 // Without an ack it asks three others to ping, and without any ack it suspects the member and gossips that. A suspected
 // member that hears of it refutes with a higher counter; a suspicion that is not refuted in time makes the member
-// unreachable. Everything that a node learns is piggybacked on the next pings and acks.
+// unreachable. Everything that a node learns is piggybacked on the next pings and acks. A node that hears of a suspicion
+// about a member of its own failure domain pings that member at once, so that it can refute: others may be cut off from
+// the domain in one direction only.
 //
 // A record is ordered by counter first and by doubt second (trusted, suspected, lost), and a member that declared that
 // it left stays left. Merging two views takes the greater record of each member, so the order in which datagrams
@@ -100,6 +102,7 @@
 	lost     int            // members whose doubt is Lost
 	queue    queue
 	urgent   []*record
+	hearsay  []*record // neighbours that others have begun to doubt, to be pinged at once
 	hashes   [Buckets]uint32
 	interned map[string]string
 	refused  uint64
--- a/core/member/members_test.go
+++ b/core/member/members_test.go
@@ -159,7 +159,7 @@
 	f.OnEvent = nil
 	g := newFleet(5, 40, 4)
 	naive := doubts(g, func() {
-		for i := range 50 {
+		for i := range 60 { // a minute, as above
 			g.Run(time.Second)
 			victim, to := g.Nodes[10+i%30], g.Nodes[i%9]
 			m := victim.Self()
@@ -237,3 +237,37 @@
 	f.Link.Cut = func(a, b *fleet.Node) bool { return a == n || b == n }
 	assert.Assert(t, byNode(func() { f.Run(time.Minute) }) > 0)
 }
+
+// Guards against a failure domain that cannot be heard by another and, by the other's suspicions, doubts its own members
+// for as long as nobody happens to ping them.
+func TestHearsayAboutTheOwnDomainIsSettledAtOnce(t *testing.T) {
+	const settledWithin = 300 * time.Millisecond // two ticks and two ways
+	worst := time.Duration(0)
+	for seed := range uint64(50) {
+		f := newFleet(seed, 6, 2)
+		f.Link.Cut = func(from, to *fleet.Node) bool { return from.Index%2 == 1 && to.Index%2 == 0 }
+		since := map[[2]mustardmast.NodeID]time.Time{}
+		heard := 0
+		f.OnEvent = func(n *fleet.Node, now time.Time, c member.Change) {
+			key := [2]mustardmast.NodeID{n.Member.ID, c.Member.ID}
+			if n.Index%2 == 0 || c.Member.FailureDomain != n.Member.FailureDomain || n.Member.ID == c.Member.ID {
+				return
+			}
+			began, doubted := since[key]
+			switch {
+			case c.Member.State != mustardmast.Ready && !doubted:
+				heard++
+				since[key] = now
+			case c.Member.State == mustardmast.Ready && doubted:
+				worst = max(worst, now.Sub(began))
+				delete(since, key)
+			}
+		}
+		f.Run(20 * time.Second)
+		assert.Assert(t, heard > 0, "seed %d: no hearsay, so nothing is tested", seed)
+		for _, began := range since {
+			worst = max(worst, f.Now().Sub(began))
+		}
+	}
+	assert.Assert(t, worst <= settledWithin, "a neighbour was doubted for %v", worst)
+}
--- a/core/member/probe.go
+++ b/core/member/probe.go
@@ -252,6 +252,18 @@
 	return m.take()
 }
 
+// checkHearsay pings the neighbours that others have begun to doubt. It does so also if an ack is awaited already: that
+// ping did not carry the doubt.
+func (m *Members) checkHearsay(now time.Time) {
+	for _, r := range m.hearsay {
+		if r.index >= 0 && r.doubt != Trusted && m.bucket.Level(now) >= MaxPacket {
+			m.probe(now, now.Sub(m.start), r)
+		}
+	}
+	clear(m.hearsay)
+	m.hearsay = m.hearsay[:0]
+}
+
 func (m *Members) askSync(with ...*record) {
 	for _, r := range with {
 		m.out.Sync = append(m.out.Sync, *r.member)
--- a/core/member/receive.go
+++ b/core/member/receive.go
@@ -42,6 +42,7 @@
 	case Gossip:
 		m.greet(now, at, from, r, p, introduce)
 	}
+	m.checkHearsay(now)
 	return m.take()
 }
 
--- a/core/member/record.go
+++ b/core/member/record.go
@@ -187,6 +187,9 @@
 	if urgent {
 		m.hurry(r)
 	}
+	if u.Doubt != Trusted && r.member.FailureDomain == m.self.member.FailureDomain && m.doubted[r.member.FailureDomain] <= massDoubt {
+		m.hearsay = append(m.hearsay, r)
+	}
 }
 
 // hearOfSelf refutes doubts about this node.
--- a/core/member/sync.go
+++ b/core/member/sync.go
@@ -82,6 +82,7 @@
 		m.apply(at, u)
 	}
 	m.queue.closed = false
+	m.checkHearsay(now)
 	return m.take()
 }
 
