sidecar: a request that is read while the node's callers' server shuts down is answered

Change: the stop closes the listener, waits until no connection has a request awaited, read or served, and only then calls Shutdown.

--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -84,12 +84,13 @@
 	debug.SetMemoryLimit(int64(memoryPart * float64(conf.MemoryBytes())))
 	debug.SetGCPercent(heapGrowth)
 	peerAddress := netip.AddrPortFrom(conf.IP(), conf.PeerPort())
+	callers := newCallers(s.ingress)
 	servers := []struct {
 		name    string
 		address netip.AddrPort
 		server  *http.Server
 	}{
-		{"callers", conf.Callers(), plainServer(s.ingress)},
+		{"callers", conf.Callers(), callers.server},
 		{"peers", peerAddress, hostlink.NewServer(s.executor, s.fleet).HTTP()},
 		{"announcements", conf.Announcements(), plainServer(s.announcements())},
 		{"readiness", conf.Readiness(), plainServer(http.HandlerFunc(s.readiness))},
@@ -100,8 +101,11 @@
 		if err != nil {
 			return errors.Wrap(err, v.name)
 		}
+		if v.server == callers.server {
+			callers.listener = l
+		}
 		go func() {
-			if err := v.server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+			if err := v.server.Serve(l); !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
 				s.log.Write(eventlog.ServerFailed, zap.String("server", v.name), zap.Error(err))
 			}
 		}()
@@ -115,7 +119,7 @@
 		case <-reload:
 			s.reload()
 		case <-ctx.Done():
-			s.stop(servers[0].server)
+			s.stop(callers)
 			for _, v := range servers {
 				_ = v.server.Close() // nothing is under way any more
 			}
@@ -212,7 +216,7 @@
 }
 
 // stop is a planned stop: other nodes and clients go elsewhere, and what is under way ends first.
-func (s *Sidecar) stop(callers *http.Server) {
+func (s *Sidecar) stop(c *callers) {
 	began := time.Now()
 	end := began.Add(s.settings.Load().Grace() - lastAnswers)
 	s.news.leaving.Store(true)
@@ -234,7 +238,7 @@
 	}
 	ctx, cancel := context.WithDeadline(context.Background(), end)
 	defer cancel()
-	if err := callers.Shutdown(ctx); err != nil {
+	if err := c.shutdown(ctx); err != nil {
 		s.log.Write(eventlog.DrainTimedOut, zap.Int64("requests", s.ingress.Active()), zap.Int64("calls", s.executor.Active()), zap.Error(err))
 	}
 	select {
