--- a/io/hostlink/hostlink_test.go
+++ b/io/hostlink/hostlink_test.go
@@ -182,7 +182,7 @@
 func (c *countingConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
 	c.listener.received.Add(int64(n))
-	if err == io.EOF {
+	if errors.Is(err, io.EOF) {
 		c.listener.closed.Add(1)
 	}
 	return n, err
