core/intake, io/ingress: importance goes before work begun, and callers that return count as what they are let through

Change: the importance of the request at the top of the chain decides first, among equals calls of runs, then those that return. Those that return tell the share of the others, so each counts three times in the demand.

TestOrderOfWaiting held the old order; it holds the new one, place by place. TestCallersThatComeBackAreCounted offers 0.94 of the capacity and 1.73 with the old way of telling.

--- a/core/intake/intake.go
+++ b/core/intake/intake.go
@@ -1,8 +1,9 @@
 // Package intake decides which requests run on a target, which wait for it, and which are turned away.
 //
-// A target runs a fixed number of requests at once. While all its slots are taken, calls of requests that already run
-// elsewhere wait first, then requests by priority; among equals those of callers that come back go first. A request is
-// turned away at once if it would wait longer than it can afford, so that its caller may go elsewhere in time.
+// A target runs a fixed number of requests at once. While all its slots are taken, requests wait by the importance of the
+// request at the top of their chain; among equals calls of requests that already run elsewhere go first, then those of
+// callers that come back. A request is turned away at once if it would wait longer than it can afford, so that its caller
+// may go elsewhere in time.
 //
 // The intake also computes the level at which the entry nodes should shed. Each request tells the share of its kind that
 // the entry let through, so the demand before any shedding is known, and the level follows from it without feedback. A
@@ -243,10 +244,10 @@
 func (t *Ticket) before(o *Ticket) bool {
 	a, b := t.request, o.request
 	switch {
-	case a.Inner != b.Inner:
-		return a.Inner
 	case a.Priority != b.Priority:
 		return a.Priority < b.Priority
+	case a.Inner != b.Inner:
+		return a.Inner
 	case a.Returned != b.Returned:
 		return a.Returned
 	}
--- a/io/ingress/ingress.go
+++ b/io/ingress/ingress.go
@@ -258,11 +258,14 @@
 		now := time.Now()
 		level := h.parts.Levels.Level(now, q.call.Route)
 		kept := pressure.Kept(level, q.call.Rank)
+		// Those that come back tell the share of the others. So each counts as returnedKept requests in the demand, and the
+		// level is such that those let through of both are what the targets can serve.
+		q.call.Kept = kept
 		if q.call.Returned {
-			kept = min(1, returnedKept*kept)
+			kept *= returnedKept
 		}
-		if q.call.Kept = kept; rand.Float64() >= kept {
-			return nil, fault.Newf(fault.Shed, "level %.2f, %v old, %.2f let through", level, h.parts.Levels.Age(now, q.call.Route), kept)
+		if rand.Float64() >= kept {
+			return nil, fault.Newf(fault.Shed, "level %.2f, %v old, %.2f let through", level, h.parts.Levels.Age(now, q.call.Route), min(1, kept))
 		}
 	}
 	var met func(float64)
