--- a/core/allowance/allowance.go
+++ b/core/allowance/allowance.go
@@ -8,7 +8,7 @@
 // is served only if all of its calls are, so a repeat for one of them is lost unless the others get theirs. Requests that
 // callers sent to the service itself go first, as one repeat may complete them, then calls by the importance of the
 // request at the top of their chain. Within these, a hash of that request's id gives it a standing that is the same on all
-// nodes, and a cut among the standings leaves as many requests above it as can have all the repeats that they need.
+// nodes, and a cut among the standings leaves in as many requests as can have all the repeats that they need.
 package allowance
 
 import (
@@ -53,8 +53,8 @@
 	// mostRoots bounds the requests that are remembered, for one to two times rootsKept.
 	mostRoots = 8192
 	rootsKept = time.Second
-	// Requests above the cut that go without a repeat show that the cut is too low: it is computed for a part of the repeats
-	// that shrinks while more than fewDenied of their repeats are denied, and grows back.
+	// Requests that the cut leaves in and that go without a repeat show that it leaves in too many. It is computed for a part
+	// of the repeats that shrinks while more than fewDenied of what they ask for is denied, and grows back.
 	fewDenied = 0.05
 	shrink    = 0.8
 	grow      = 1.05
@@ -98,7 +98,7 @@
 	demand          [levels]demand
 	cut             float64         // standings above it get no repeat
 	period          time.Time       // start of the present one
-	granted, denied float64         // repeats above the cut in the present period
+	granted, denied float64         // repeats asked for in the present period by requests that the cut leaves in
 	part            float64         // of the repeats, for which the cut is computed
 	roots, earlier  map[uint64]bool // requests that have asked, and whether they got a repeat
 	rooted          time.Time       // start of roots
--- a/sidecar/cluster_test.go
+++ b/sidecar/cluster_test.go
@@ -46,6 +46,7 @@
 	ended    chan struct{}
 	target   *target
 	process  *os.Process
+	proxies  []*proxy    // to the target and to the store; none for nodes within the test
 	busy     atomic.Bool // a fault is being injected into the process
 }
 
@@ -78,8 +79,13 @@
 	n := nextIP.Add(1)
 	h := &host{c: c, ip: fmt.Sprintf("127.%d.%d.%d", 10+os.Getpid()%200, n/200, n%200+1), service: service}
 	h.settings = filepath.Join(c.t.TempDir(), "boot.json")
-	h.write(service, domain)
-	h.target = newTarget(c.t, h, "i-1")
+	targetAt, storeAt := h.ip+":8301", c.addr
+	if c.program != "" {
+		targetAt, storeAt = h.ip+":8311", h.ip+":8309"
+		h.proxies = []*proxy{newProxy(c.t, h.ip+":8301", targetAt), newProxy(c.t, storeAt, c.addr)}
+	}
+	h.write(service, domain, storeAt)
+	h.target = newTarget(c.t, h, targetAt, "i-1")
 	h.start()
 	c.hosts = append(c.hosts, h)
 	h.listening()
@@ -103,11 +109,11 @@
 	}
 }
 
-func (h *host) write(service, domain string) {
+func (h *host) write(service, domain, store string) {
 	text := fmt.Sprintf(`{"Self":{"Node":"node-%[1]s","Ip":%[1]q,"Zone":%[2]q,"AppAddress":"%[1]s:8301","Service":%[3]q,"Limits":{"MemoryMb":284}},
 		"Network":{"Listen":{"Outbound":"%[1]s:8304","Readiness":"%[1]s:8302","ControlPlane":"%[1]s:8306"},"InternalPorts":[7620,7635]},
 		"Platform":{"Platform":{"Address":%[4]q}},
-		"Terms":{"Bounds":{"GraceS":3,"ConfigS":2,"BudgetRatio":0.2,"BudgetWindowS":10,"BudgetSlack":49}}}`, h.ip, domain, service, h.c.addr)
+		"Terms":{"Bounds":{"GraceS":3,"ConfigS":2,"BudgetRatio":0.2,"BudgetWindowS":10,"BudgetSlack":49}}}`, h.ip, domain, service, store)
 	assert.NilError(h.c.t, os.WriteFile(h.settings, []byte(text), 0o600))
 }
 
@@ -187,9 +193,9 @@
 	runs map[string]int
 }
 
-func newTarget(t *testing.T, h *host, id string) *target {
+func newTarget(t *testing.T, h *host, at, id string) *target {
 	t.Helper()
-	l, err := net.Listen("tcp", h.ip+":8301")
+	l, err := net.Listen("tcp", at)
 	assert.NilError(t, err)
 	v := &target{id: id, runs: map[string]int{}}
 	v.answer(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "from "+h.ip) })
--- a/sidecar/soak_test.go
+++ b/sidecar/soak_test.go
@@ -21,8 +21,8 @@
 )
 
 // The soak runs nodes as processes and injects faults from outside: signals, a store that fails or holds its answers,
-// targets that lose or cut answers and that leave, and changes of the configuration. It checks what clients were told
-// against what the targets ran.
+// targets that lose or cut answers, changes of the configuration, and proxies that delay, reset, silence or cut in one
+// direction the connections to a target or to the store. It checks what clients were told against what the targets ran.
 const (
 	soakHosts   = 5
 	soakClients = 10
@@ -141,7 +141,8 @@
 func (r *run) fault(wg *sync.WaitGroup) {
 	h := r.hosts[r.random.IntN(len(r.hosts))]
 	last := time.Duration(100+r.random.IntN(1400)) * time.Millisecond
-	kind := []string{"kill", "pause", "term", "store", "configure", "lose", "cut"}[r.random.IntN(7)]
+	kinds := []string{"kill", "pause", "term", "store", "configure", "lose", "cut", "slow-link", "reset-link", "deaf-link", "silent-link"}
+	kind := kinds[r.random.IntN(len(kinds))]
 	r.plan = append(r.plan, fmt.Sprintf("%s %s for %v", kind, h.ip, last))
 	switch kind {
 	case "kill", "pause", "term":
@@ -161,6 +162,24 @@
 			panic(http.ErrAbortHandler)
 		})
 		wg.Go(func() { time.Sleep(last); h.behave(h.serve) })
+	default:
+		harm(wg, h.proxies[r.random.IntN(len(h.proxies))], kind, last)
+	}
+}
+
+// harm harms the connections of a node to its target or to the store.
+func harm(wg *sync.WaitGroup, p *proxy, kind string, last time.Duration) {
+	switch kind {
+	case "slow-link":
+		p.delay.Store(int64(last / 10))
+		wg.Go(func() { time.Sleep(last); p.delay.Store(0) })
+	case "reset-link":
+		p.reset()
+	case "deaf-link":
+		p.deaf.Store(true)
+		wg.Go(func() { time.Sleep(last); p.deaf.Store(false) })
+	case "silent-link":
+		p.silence()
 	}
 }
 
