io/targetconn: a call is sent again on a new connection only where the old one was idle; repeats use 0.8 of the ratio

The trace shows each call reaching a target twice within 2 ms from the same node: the target ran it and reset the connection, the pool took that for a connection closed while idle and sent the call again, uncounted.

Change: only a connection that was idle for longer than 200 ms is replaced like that; otherwise the failure goes to the sender, which asks the allowance and takes another target. 0.8 of the ratio is used and 0.1 of the bound is reserved, since calls of requests that run again take no leave.

TestABusyConnectionThatIsResetIsNotIdle: 20 calls arrived 30 times before. TestIdleConnectionsThatTheTargetClosed asked for the second sending at once on a connection in use; its target had read that call, so it may have run. It waits until the connection is idle now and asks for the same.

--- a/core/allowance/allowance.go
+++ b/core/allowance/allowance.go
@@ -31,8 +31,9 @@
 const slots = 10
 
 const (
-	// ratioUsed is the part of the ratio that is used. The count covers a tenth more than the window.
-	ratioUsed = 0.85
+	// ratioUsed is the part of the ratio that is used. The count covers a tenth more than the window, and calls of requests
+	// that run again take no leave.
+	ratioUsed = 0.8
 	// slackUsed is the part of the slack that is used. Nodes that have restarted forget what they took of it.
 	slackUsed = 0.6
 )
@@ -46,7 +47,7 @@
 	// levels of standings are those of callers' requests, then those of calls.
 	levels = 2 * importances
 	// reserved is the part of the bound that the last level leaves to those before it; others leave less, in proportion.
-	reserved = 0.15
+	reserved = 0.1
 	// cutPeriod is how often the cut is computed, from means with this weight for the last period.
 	cutPeriod = 200 * time.Millisecond
 	cutWeight = 0.3
--- a/io/targetconn/targetconn.go
+++ b/io/targetconn/targetconn.go
@@ -134,7 +134,8 @@
 func (p *Pool) Do(ctx context.Context, c *mustardmast.TargetCall, lifetime string, deadline time.Time) (*mustardmast.TargetReply, error) {
 	now := time.Now()
 	cn := p.take(now, c.Repeatable)
-	reused := cn != nil
+	// A connection that was in use until a moment ago is not closed for being idle: the target has most likely run the call.
+	idled := cn != nil && now.Sub(cn.since) > idleOnce
 	if cn == nil {
 		var err error
 		if cn, err = p.dial(ctx); err != nil {
@@ -145,7 +146,7 @@
 		}
 	}
 	reply, err := p.exchange(ctx, cn, c, lifetime, deadline)
-	if err == nil || !reused || !c.Repeatable || c.Body != nil || ctx.Err() != nil {
+	if err == nil || !idled || !c.Repeatable || c.Body != nil || ctx.Err() != nil {
 		return reply, err
 	}
 	if f := fault.From(err); f.Kind() != fault.TargetFailed || !isClosed(f) {
--- a/io/targetconn/targetconn_test.go
+++ b/io/targetconn/targetconn_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -221,6 +222,7 @@
 	}
 	p := pool(newOne())
 	for _, id := range []string{"a", "b"} {
+		time.Sleep(250 * time.Millisecond) // idle for so long that the target may have closed it
 		got, err := do(p, call(id))
 		assert.NilError(t, err)
 		assert.Equal(t, got, "for "+id)
@@ -236,6 +238,33 @@
 	assert.Equal(t, s.connections.Load(), int32(1))
 }
 
+// Guards against a target that resets the connection after it has run a call, under load: each call reached it twice, and
+// the second time was not taken from the allowance of repeats.
+func TestABusyConnectionThatIsResetIsNotIdle(t *testing.T) {
+	var arrived atomic.Int32
+	s := newTarget(t, func(_ int, c net.Conn, r *bufio.Reader) {
+		for requests := 1; ; requests++ {
+			id, _, err := read(r)
+			if err != nil {
+				return
+			}
+			if arrived.Add(1); requests == 2 {
+				return
+			}
+			_, _ = io.WriteString(c, answer(id, "for "+id))
+		}
+	})
+	p := pool(s)
+	for n := range 20 {
+		_, err := do(p, call(strconv.Itoa(n)))
+		assert.Equal(t, err != nil, n%2 == 1)
+		if err != nil {
+			assert.Equal(t, fault.From(err).Outcome(), fault.Unknown)
+		}
+	}
+	assert.Equal(t, arrived.Load(), int32(20))
+}
+
 // Guards against bodies that change on the way, or that are left half sent on a connection that is used again.
 func TestBodies(t *testing.T) {
 	got := make(chan []byte, 8)
