--- a/sidecar/wire_gen.go
+++ b/sidecar/wire_gen.go
@@ -40,8 +40,8 @@
 	allowance := newAllowance(settings)
 	levels := pressure.New()
 	placer := newPlacer(roster, executor, client, allowance, levels, recorder)
-	callers := returning.New()
-	handler := newIngress(sidecarLiveSettings, fleet, executor, placer, levels, callers, recorder, sidecarTargetNews)
+	returningCallers := returning.New()
+	handler := newIngress(sidecarLiveSettings, fleet, executor, placer, levels, returningCallers, recorder, sidecarTargetNews)
 	sidecar := newSidecar(f, sidecarLiveSettings, tracker, intakeIntake, pool, executor, handler, fleet, sidecarTargetNews, set, log, sink)
 	return sidecar, nil
 }
