io/targetconn: connections to the target are kept for 200 ms only

Cause: a call on a connection that went silent while idle waited until its deadline; seen once in TestSoak/1, where a request got no answer for 2 s after the links of targets were silenced. Change: a connection that no call used for 200 ms is closed. So the call that found its idle connection closed needs no second sending, and the code for it goes, with the reading of Keep-Alive (whole seconds). Measured: the new test fails on the code before (deadline exceeded) and passes now.

--- a/io/targetconn/exchange.go
+++ b/io/targetconn/exchange.go
@@ -8,7 +8,6 @@
 	"net"
 	"net/http"
 	"strconv"
-	"strings"
 	"time"
 
 	"github.com/pkg/errors"
@@ -18,14 +17,6 @@
 	"mustardmast/io/message"
 )
 
-// closedError marks a connection that ended before the first byte of an answer.
-type closedError struct{ error }
-
-func isClosed(f *fault.Error) bool {
-	var closed closedError
-	return errors.As(f.Unwrap(), &closed)
-}
-
 func (p *Pool) exchange(ctx context.Context, cn *conn, c *mustardmast.TargetCall, lifetime string, deadline time.Time) (*mustardmast.TargetReply, error) {
 	if err := cn.SetDeadline(deadline.Add(answerGrace)); err != nil {
 		_ = cn.Close()
@@ -147,9 +138,6 @@
 func (p *Pool) answer(cn *conn, c *mustardmast.TargetCall) (*http.Response, error) {
 	request := &http.Request{Method: c.Method}
 	for foreign := 0; foreign < mostForeign; {
-		if _, err := cn.r.Peek(1); err != nil {
-			return nil, closedError{err}
-		}
 		resp, err := http.ReadResponse(cn.r, request)
 		if err != nil {
 			return nil, err
@@ -177,7 +165,6 @@
 }
 
 func (p *Pool) reply(cn *conn, resp *http.Response, u *upload, stop func() bool) (*mustardmast.TargetReply, error) {
-	cn.idleFor = idleTime(resp.Header.Get("Keep-Alive"))
 	body := &replyBody{pool: p, conn: cn, resp: resp, upload: u, stop: stop}
 	if p.notExecuted(resp) {
 		// The head alone is the promise. The rest is read so that the connection can be used again, and need not be whole.
@@ -192,16 +179,3 @@
 	message.CopyHeader(header, resp.Header)
 	return &mustardmast.TargetReply{Status: resp.StatusCode, Header: header, Length: resp.ContentLength, Body: body}, nil
 }
-
-func idleTime(keepAlive string) time.Duration {
-	for _, p := range strings.Split(keepAlive, ",") {
-		name, value, _ := strings.Cut(strings.TrimSpace(p), "=")
-		if !strings.EqualFold(name, "timeout") {
-			continue
-		}
-		if n, err := strconv.Atoi(value); err == nil && n > 0 {
-			return max(time.Duration(n)*time.Second-idleMargin, time.Duration(n)*time.Second/2)
-		}
-	}
-	return idleDefault
-}
--- a/io/targetconn/targetconn.go
+++ b/io/targetconn/targetconn.go
@@ -22,13 +22,10 @@
 
 const (
 	dialTimeout = 300 * time.Millisecond // the target is on this host; a connection costs about a millisecond
-	// idleDefault is how long a connection is kept if the target does not say when it closes idle ones.
-	idleDefault = 4 * time.Second
-	// idleMargin is left before the moment at which the target closes an idle connection.
-	idleMargin = 800 * time.Millisecond
-	// idleOnce is how long a connection may have been idle for a request that must not be sent twice: a connection
-	// that the target has dropped leaves such a request with an unknown outcome.
-	idleOnce = 200 * time.Millisecond
+	// keptIdle is how long a connection is kept while no call uses it. The target drops idle connections after a second or
+	// more, now and then sooner and without a word, and a link may go silent for good. So a connection that has been idle
+	// for longer may swallow a call, while a new one costs a millisecond.
+	keptIdle = 200 * time.Millisecond
 	// answerGrace is the wait for an answer beyond the deadline; the target itself answers at the deadline.
 	answerGrace = 150 * time.Millisecond
 	// inlineBody is the largest body that is sent in one write with its head.
@@ -43,9 +40,7 @@
 type conn struct {
 	net.Conn
 	r         *bufio.Reader
-	since     time.Time // idle since
-	idleUntil time.Time
-	idleFor   time.Duration
+	idleSince time.Time
 }
 
 // Pool holds the connections to one target. Its methods may be called concurrently.
@@ -74,27 +69,24 @@
 	}
 }
 
-func (p *Pool) take(now time.Time, repeatable bool) *conn {
-	for {
-		p.mu.Lock()
+// take returns the connection that was in use last, nil if it has been idle for too long.
+func (p *Pool) take(now time.Time) *conn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for len(p.idle) > 0 {
 		last := len(p.idle) - 1
-		if last < 0 {
-			p.mu.Unlock()
-			return nil
-		}
 		c := p.idle[last]
-		if !repeatable && now.Sub(c.since) > idleOnce {
-			p.mu.Unlock()
+		if now.Sub(c.idleSince) > keptIdle {
 			return nil
 		}
 		p.idle[last] = nil
 		p.idle = p.idle[:last]
-		p.mu.Unlock()
-		if now.Before(c.idleUntil) && c.r.Buffered() == 0 {
+		if c.r.Buffered() == 0 {
 			return c
 		}
-		_ = c.Close() // too old, or the target sent bytes that nobody asked for
+		_ = c.Close() // the target sent bytes that nobody asked for
 	}
+	return nil
 }
 
 func (p *Pool) put(now time.Time, c *conn) {
@@ -102,21 +94,14 @@
 		_ = c.Close()
 		return
 	}
-	c.since, c.idleUntil = now, now.Add(c.idleFor)
+	c.idleSince = now
 	p.mu.Lock()
-	var old *conn
-	if len(p.idle) >= maxIdle {
-		old, p.idle = p.idle[0], p.idle[1:]
-	}
-	for len(p.idle) > 0 && now.After(p.idle[0].idleUntil) { // the front is idle for longest
+	defer p.mu.Unlock()
+	for len(p.idle) > 0 && (len(p.idle) >= maxIdle || now.Sub(p.idle[0].idleSince) > keptIdle) { // the front is idle for longest
 		_ = p.idle[0].Close()
 		p.idle = p.idle[1:]
 	}
 	p.idle = append(p.idle, c)
-	p.mu.Unlock()
-	if old != nil {
-		_ = old.Close()
-	}
 }
 
 func (p *Pool) dial(ctx context.Context) (*conn, error) {
@@ -126,16 +111,13 @@
 	if err != nil {
 		return nil, err
 	}
-	return &conn{Conn: n, r: bufio.NewReaderSize(n, readBuffer), idleFor: idleDefault}, nil
+	return &conn{Conn: n, r: bufio.NewReaderSize(n, readBuffer)}, nil
 }
 
 // Do sends a call to the lifetime of the target with this id. An error's outcome is not-executed only if the call
 // cannot run. The body of the reply must be closed.
 func (p *Pool) Do(ctx context.Context, c *mustardmast.TargetCall, lifetime string, deadline time.Time) (*mustardmast.TargetReply, error) {
-	now := time.Now()
-	cn := p.take(now, c.Repeatable)
-	// A connection that was in use until a moment ago is not closed for being idle: the target has most likely run the call.
-	idled := cn != nil && now.Sub(cn.since) > idleOnce
+	cn := p.take(time.Now())
 	if cn == nil {
 		var err error
 		if cn, err = p.dial(ctx); err != nil {
@@ -145,23 +127,9 @@
 			return nil, fault.Wrap(err, fault.NotReady, "no connection to the target")
 		}
 	}
-	reply, err := p.exchange(ctx, cn, c, lifetime, deadline)
-	if err == nil || !idled || !c.Repeatable || c.Body != nil || ctx.Err() != nil {
-		return reply, err
-	}
-	if f := fault.From(err); f.Kind() != fault.TargetFailed || !isClosed(f) {
-		return reply, err
-	}
-	// The target closed the connection while it was idle, so the call goes on a new one.
-	if cn, err = p.dial(ctx); err != nil {
-		return nil, fault.Wrap(err, fault.TargetFailed, "no connection to the target")
-	}
 	return p.exchange(ctx, cn, c, lifetime, deadline)
 }
 
-// Unwrap returns the cause.
-func (e closedError) Unwrap() error { return e.error }
-
 // replyBody is the body of a reply. The connection goes back to the pool once it is read to its end.
 type replyBody struct {
 	pool   *Pool
--- a/io/targetconn/targetconn_test.go
+++ b/io/targetconn/targetconn_test.go
@@ -238,6 +238,32 @@
 	assert.Equal(t, s.connections.Load(), int32(1))
 }
 
+// Guards against a connection that went silent while idle, as links do when a path changes, holding a call to its deadline.
+func TestAnIdleConnectionThatWentSilent(t *testing.T) {
+	for _, repeatable := range []bool{true, false} {
+		s := newTarget(t, func(n int, c net.Conn, r *bufio.Reader) {
+			for requests := 1; ; requests++ {
+				id, _, err := read(r)
+				if err != nil {
+					return
+				}
+				if n > 1 || requests == 1 {
+					_, _ = io.WriteString(c, answer(id, "for "+id))
+				}
+			}
+		})
+		p := pool(s)
+		_, err := do(p, call("a"))
+		assert.NilError(t, err)
+		time.Sleep(250 * time.Millisecond)
+		next := call("b")
+		next.Repeatable = repeatable
+		got, err := do(p, next)
+		assert.NilError(t, err)
+		assert.Equal(t, got, "for b")
+	}
+}
+
 // Guards against a target that resets the connection after it has run a call, under load: each call reached it twice, and
 // the second time was not taken from the allowance of repeats.
 func TestABusyConnectionThatIsResetIsNotIdle(t *testing.T) {
