--- a/core/roster/choose.go
+++ b/core/roster/choose.go
@@ -1,9 +1,6 @@
 package roster
 
-import (
-	"sort"
-	"time"
-)
+import "time"
 
 // Choice is what a host is chosen for.
 type Choice struct {
@@ -22,16 +19,16 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	usual := r.usual(c.Service)
-	var candidates []*member
-	for _, m := range r.members {
+	candidates := r.fit[:0]
+	for _, m := range r.ordered {
 		if m.record.Service == c.Service && m.record.Ready && !m.down && c.allows(m.record.Host) {
 			candidates = append(candidates, m)
 		}
 	}
+	r.fit = candidates
 	if len(candidates) == 0 {
 		return r.lastResort(now, c)
 	}
-	sort.Slice(candidates, func(a, b int) bool { return candidates[a].record.Host < candidates[b].record.Host })
 	if r.rand.Float64() < explore {
 		m := candidates[r.rand.IntN(len(candidates))]
 		if !m.silent(now, usual) && m.occupancy() < 1 {
@@ -51,7 +48,7 @@
 // lastResort returns a host that is down but may be tried again.
 func (r *Roster) lastResort(now time.Time, c Choice) (Record, bool) {
 	var best *member
-	for _, m := range r.members {
+	for _, m := range r.ordered {
 		if m.record.Service != c.Service || !m.down || !c.allows(m.record.Host) || now.Before(m.retryAt) {
 			continue
 		}
@@ -70,7 +67,7 @@
 // have not reported yet, and for those whose requests fail, which may be fast at it.
 func (r *Roster) usual(service string) time.Duration {
 	shortest := time.Duration(0)
-	for _, m := range r.members {
+	for _, m := range r.ordered {
 		if m.record.Service == service && m.reported && m.failing < unwell && (shortest == 0 || m.report.Duration < shortest) {
 			shortest = m.report.Duration
 		}
--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -7,7 +7,8 @@
 
 import (
 	"math/rand/v2"
-	"sort"
+	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -80,17 +81,35 @@
 
 	mu      sync.Mutex
 	members map[string]*member
+	ordered []*member        // the same by name
 	gone    map[string]int64 // start of hosts that have left, by name
 	rand    *rand.Rand
+	fit     []*member // space for Choose, which runs for each call
 }
 
 // New returns a roster that knows only its own host.
 func New(self Record, seed uint64) *Roster {
 	r := &Roster{self: self, members: map[string]*member{}, gone: map[string]int64{}, rand: rand.New(rand.NewPCG(seed, seed))}
-	r.members[self.Host] = &member{record: self}
+	r.insert(self)
 	return r
 }
 
+func (r *Roster) insert(n Record) {
+	m := &member{record: n}
+	r.members[n.Host] = m
+	at, _ := slices.BinarySearchFunc(r.ordered, n.Host, byHost)
+	r.ordered = slices.Insert(r.ordered, at, m)
+}
+
+func (r *Roster) delete(host string) {
+	delete(r.members, host)
+	if at, ok := slices.BinarySearchFunc(r.ordered, host, byHost); ok {
+		r.ordered = slices.Delete(r.ordered, at, at+1)
+	}
+}
+
+func byHost(m *member, host string) int { return strings.Compare(m.record.Host, host) }
+
 // Self returns the record of the own host.
 func (r *Roster) Self() Record {
 	r.mu.Lock()
@@ -124,7 +143,7 @@
 	}
 	m := r.members[n.Host]
 	if m == nil {
-		r.members[n.Host] = &member{record: n}
+		r.insert(n)
 		delete(r.gone, n.Host)
 		return true
 	}
@@ -147,7 +166,7 @@
 	defer r.mu.Unlock()
 	if m := r.members[host]; m != nil && host != r.self.Host {
 		r.gone[host] = m.record.Started
-		delete(r.members, host)
+		r.delete(host)
 	}
 }
 
@@ -156,10 +175,9 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	out := make([]Record, 0, len(r.members))
-	for _, m := range r.members {
+	for _, m := range r.ordered {
 		out = append(out, m.record)
 	}
-	sort.Slice(out, func(a, b int) bool { return out[a].Host < out[b].Host })
 	return out
 }
 
@@ -248,7 +266,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	var out []Record
-	for _, m := range r.members {
+	for _, m := range r.ordered {
 		if m.down && !now.Before(m.retryAt) {
 			out = append(out, m.record)
 		}
--- a/io/decisions/decisions.go
+++ b/io/decisions/decisions.go
@@ -58,8 +58,46 @@
 
 	answered, failed, rejected, offered, served, turned, ended limiter
 
-	latency, wait, run *metrics.PrometheusHistogram
-	limited            *metrics.Counter
+	latency, wait, run           *metrics.PrometheusHistogram
+	limited                      *metrics.Counter
+	offers, turnedAway, failures byKind
+	answers                      sync.Map // answer to *metrics.Counter
+}
+
+// answer is what requests are counted by.
+type answer struct {
+	status int
+	error  string
+}
+
+// requests returns the counter of the requests that ended so. It is kept, because to make up its name costs more than to
+// count.
+func (r *Recorder) requests(status int, errorName string) *metrics.Counter {
+	k := answer{status, errorName}
+	if c, ok := r.answers.Load(k); ok {
+		return c.(*metrics.Counter)
+	}
+	c := r.set.GetOrCreateCounter(fmt.Sprintf("mustardmast_requests_total{status=%q,error=%q}", strconv.Itoa(status), errorName))
+	r.answers.Store(k, c)
+	return c
+}
+
+// byKind holds a counter for each kind of error.
+type byKind map[fault.Kind]*metrics.Counter
+
+func newByKind(set *metrics.Set, name string) byKind {
+	k := byKind{fault.None: set.NewCounter(fmt.Sprintf("%s{error=%q}", name, fault.None))}
+	for _, e := range fault.Kinds() {
+		k[e] = set.NewCounter(fmt.Sprintf("%s{error=%q}", name, e))
+	}
+	return k
+}
+
+func (k byKind) of(err error) *metrics.Counter {
+	if err == nil {
+		return k[fault.None]
+	}
+	return k[fault.From(err).Kind()]
 }
 
 // New returns a recorder that counts in set. Behind is called when another host has a later configuration, hostDown
@@ -71,15 +109,19 @@
 		wait:    set.NewPrometheusHistogramExt("mustardmast_slot_wait_seconds", telemetry.LatencyBounds),
 		run:     set.NewPrometheusHistogramExt("mustardmast_target_duration_seconds", telemetry.LatencyBounds),
 		limited: set.NewCounter("mustardmast_log_lines_limited_total"),
+		offers:  newByKind(set, "mustardmast_offers_total"), turnedAway: newByKind(set, "mustardmast_turned_away_total"),
+		failures: newByKind(set, "mustardmast_target_failures_total"),
 	}
 }
 
-func (r *Recorder) write(l *limiter, most int, e eventlog.Event, fields ...zap.Field) {
-	if !l.allow(time.Now(), most) {
-		r.limited.Inc()
-		return
+// writes reports whether a line may be written. What is not is counted. The fields of a line are made only then, because
+// under load most lines are not written.
+func (r *Recorder) writes(l *limiter, most int) bool {
+	if l.allow(time.Now(), most) {
+		return true
 	}
-	r.log.Write(e, fields...)
+	r.limited.Inc()
+	return false
 }
 
 func call(c *mustardmast.TargetCall) []zap.Field {
@@ -96,31 +138,37 @@
 // Answered implements ingress.Observer.
 func (r *Recorder) Answered(c *mustardmast.TargetCall, status int, err error, took time.Duration) {
 	r.latency.Update(took.Seconds())
-	r.set.GetOrCreateCounter(fmt.Sprintf("mustardmast_requests_total{status=%q,error=%q}", strconv.Itoa(status), kind(err))).Inc()
-	fields := append(call(c), zap.Int("status", status), zap.Duration("took", took), zap.Bool("inner", c.Inner), zap.Bool("returned", c.Returned),
-		zap.Int("priority", c.Priority), zap.Duration("hold", c.Hold))
+	r.requests(status, kind(err)).Inc()
+	l, most, event := &r.failed, failedPerSecond, eventlog.RequestFailed
 	if err == nil && status < http.StatusInternalServerError {
-		r.write(&r.answered, servedPerSecond, eventlog.RequestAnswered, fields...)
-		return
+		l, most, event = &r.answered, servedPerSecond, eventlog.RequestAnswered
+	}
+	if r.writes(l, most) {
+		r.log.Write(event, append(call(c), zap.Int("status", status), zap.Duration("took", took), zap.Bool("inner", c.Inner),
+			zap.Bool("returned", c.Returned), zap.Int("priority", c.Priority), zap.Duration("hold", c.Hold), zap.NamedError("reason", err))...)
 	}
-	r.write(&r.failed, failedPerSecond, eventlog.RequestFailed, append(fields, zap.NamedError("reason", err))...)
 }
 
 // Rejected implements ingress.Observer.
 func (r *Recorder) Rejected(id, host, path string, status int, reason string, version uint64) {
-	r.set.GetOrCreateCounter(fmt.Sprintf("mustardmast_requests_total{status=%q,error=%q}", strconv.Itoa(status), rejected)).Inc()
-	r.write(&r.rejected, failedPerSecond, eventlog.RequestRejected, zap.String("request", id), zap.String("host", host), zap.String("path", path),
-		zap.Int("status", status), zap.String("reason", reason), zap.Uint64("version", version))
+	r.requests(status, rejected).Inc()
+	if r.writes(&r.rejected, failedPerSecond) {
+		r.log.Write(eventlog.RequestRejected, zap.String("request", id), zap.String("host", host), zap.String("path", path),
+			zap.Int("status", status), zap.String("reason", reason), zap.Uint64("version", version))
+	}
 }
 
 // Placed implements placement.Observer.
 func (r *Recorder) Placed(c *mustardmast.TargetCall, o placement.Offer) {
-	r.set.GetOrCreateCounter(fmt.Sprintf("mustardmast_offers_total{error=%q}", kind(o.Err))).Inc()
+	r.offers.of(o.Err).Inc()
 	l, most := &r.offered, failedPerSecond
 	if o.Err == nil && o.Status < http.StatusInternalServerError {
 		l, most = &r.served, servedPerSecond
 	}
-	r.write(l, most, eventlog.CallOffered, append(call(c), zap.String("to", o.Host), zap.Int("offer", o.Number), zap.Int("status", o.Status),
+	if !r.writes(l, most) {
+		return
+	}
+	r.log.Write(eventlog.CallOffered, append(call(c), zap.String("to", o.Host), zap.Int("offer", o.Number), zap.Int("status", o.Status),
 		zap.Duration("took", o.Took), zap.Duration("left", time.Until(c.Deadline)), zap.Int("known-running", o.Report.Running),
 		zap.Int("known-waiting", o.Report.Waiting), zap.Int("known-limit", o.Report.Limit), zap.Duration("known-age", o.Age),
 		zap.NamedError("reason", o.Err))...)
@@ -134,8 +182,11 @@
 
 // Turned implements localtarget.Observer.
 func (r *Recorder) Turned(c *mustardmast.TargetCall, err error, i intake.Report, t lifetime.Target) {
-	r.set.GetOrCreateCounter(fmt.Sprintf("mustardmast_turned_away_total{error=%q}", kind(err))).Inc()
-	r.write(&r.turned, failedPerSecond, eventlog.CallNotStarted, append(call(c), zap.String("from", c.Entry), zap.Int("running", i.Running),
+	r.turnedAway.of(err).Inc()
+	if !r.writes(&r.turned, failedPerSecond) {
+		return
+	}
+	r.log.Write(eventlog.CallNotStarted, append(call(c), zap.String("from", c.Entry), zap.Int("running", i.Running),
 		zap.Int("waiting", i.Waiting), zap.Int("limit", i.Limit), zap.Duration("mean-run", i.Service), zap.Float64("level", i.Level),
 		zap.Duration("hold", c.Hold), zap.String("target", t.ID), zap.Stringer("state", t.State), zap.NamedError("reason", err))...)
 }
@@ -147,8 +198,11 @@
 	if err == nil {
 		return
 	}
-	r.set.GetOrCreateCounter(fmt.Sprintf("mustardmast_target_failures_total{error=%q}", kind(err))).Inc()
-	r.write(&r.ended, failedPerSecond, eventlog.CallEnded, append(call(c), zap.String("from", c.Entry), zap.String("target", t.ID),
+	r.failures.of(err).Inc()
+	if !r.writes(&r.ended, failedPerSecond) {
+		return
+	}
+	r.log.Write(eventlog.CallEnded, append(call(c), zap.String("from", c.Entry), zap.String("target", t.ID),
 		zap.Duration("waited", waited), zap.Duration("took", took), zap.NamedError("reason", err))...)
 }
 
--- /dev/null
+++ b/io/decisions/decisions_test.go
@@ -0,0 +1,52 @@
+package decisions_test
+
+import (
+	"bytes"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"go.uber.org/zap"
+	"gotest.tools/v3/assert"
+
+	"mustardmast"
+	"mustardmast/core/fault"
+	"mustardmast/core/intake"
+	"mustardmast/core/lifetime"
+	"mustardmast/io/decisions"
+	"mustardmast/io/eventlog"
+	"mustardmast/io/placement"
+)
+
+// Guards against outcomes that are counted under another kind, or not at all while their lines are not written.
+func TestEveryOutcomeIsCounted(t *testing.T) {
+	set := metrics.NewSet()
+	r := decisions.New(eventlog.New(zap.NewNop()), set, func(string, uint64) {}, func(string, error) {}, func(string, error) {})
+	c := &mustardmast.TargetCall{ID: "a", Deadline: time.Now().Add(time.Second)}
+	const times = 1000 // more than the lines of any kind in a second
+	for range times {
+		r.Answered(c, 200, nil, time.Millisecond)
+		r.Answered(c, 503, fault.New(fault.QueueFull, "full"), time.Millisecond)
+		r.Rejected("a", "h", "/", 404, "no route", 3)
+		r.Placed(c, placement.Offer{Host: "h", Err: fault.New(fault.TargetFailed, "reset")})
+		r.Placed(c, placement.Offer{Host: "h", Status: 200})
+		r.Turned(c, fault.New(fault.Draining, "leaves"), intake.Report{}, lifetime.Target{})
+		r.Ran(c, 0, time.Millisecond, fault.New(fault.DeadlineExceeded, "late"), lifetime.Target{})
+		r.Ran(c, 0, time.Millisecond, nil, lifetime.Target{})
+	}
+	var b bytes.Buffer
+	set.WritePrometheus(&b)
+	for _, want := range []string{
+		`mustardmast_requests_total{status="200",error="none"} 1000`,
+		`mustardmast_requests_total{status="503",error="queue-full"} 1000`,
+		`mustardmast_requests_total{status="404",error="rejected"} 1000`,
+		`mustardmast_offers_total{error="target-failed"} 1000`,
+		`mustardmast_offers_total{error="none"} 1000`,
+		`mustardmast_turned_away_total{error="draining"} 1000`,
+		`mustardmast_target_failures_total{error="deadline-exceeded"} 1000`,
+		`mustardmast_target_duration_seconds_count 2000`,
+	} {
+		assert.Assert(t, strings.Contains(b.String(), want+"\n"), "%s is not in\n%s", want, b.String())
+	}
+}
--- a/io/hostlink/client.go
+++ b/io/hostlink/client.go
@@ -75,9 +75,8 @@
 		_ = resp.Body.Close() // it has no body
 		return nil, report, ok, err
 	}
-	h := make(http.Header, len(resp.Header))
-	copyFields(h, resp.Header)
-	return &mustardmast.TargetReply{Status: resp.StatusCode, Header: h, Length: resp.ContentLength, Body: resp.Body}, report, ok, nil
+	delete(resp.Header, fieldReport)
+	return &mustardmast.TargetReply{Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength, Body: resp.Body}, report, ok, nil
 }
 
 func lost(ctx context.Context, err error, sent bool) error {
--- a/io/hostlink/codec.go
+++ b/io/hostlink/codec.go
@@ -2,7 +2,7 @@
 
 import (
 	"net/http"
-	"net/textproto"
+	"net/url"
 	"strconv"
 	"strings"
 	"time"
@@ -13,26 +13,12 @@
 	"mustardmast/core/fault"
 )
 
-// Header fields between nodes.
+// Header fields between nodes. A call and a report are one field each: a header with a dozen fields costs both nodes
+// several times as much.
 const (
-	prefix          = "Mustardmast-"
-	fieldService    = prefix + "Service"
-	fieldRoute      = prefix + "Route"
-	fieldEntry      = prefix + "Entry"
-	fieldVersion    = prefix + "Version"
-	fieldPriority   = prefix + "Priority"
-	fieldRank       = prefix + "Rank"
-	fieldKept       = prefix + "Kept"
-	fieldFlags      = prefix + "Flags"
-	fieldTimeLeft   = prefix + "Time-Left-Us"
-	fieldHold       = prefix + "Hold-Us"
-	fieldCallID     = prefix + "Call-Id"
-	fieldMethod     = prefix + "Method"
-	fieldReport     = prefix + "Report"
-	fieldError      = prefix + "Error"
-	fieldOutcome    = prefix + "Outcome"
-	fieldDetail     = prefix + "Detail"
-	fieldRetryAfter = prefix + "Retry-After-Us"
+	fieldCall   = "Mustardmast-Call"
+	fieldReport = "Mustardmast-Report"
+	fieldError  = "Mustardmast-Error"
 )
 
 // Flags of a call.
@@ -47,90 +33,105 @@
 
 // callHeader encodes a call. Times are sent as what is left of them, because hosts' clocks differ.
 func callHeader(c *mustardmast.TargetCall, now time.Time) http.Header {
-	h := make(http.Header, len(c.Header)+10)
+	h := make(http.Header, len(c.Header)+2)
 	for name, values := range c.Header {
 		h[name] = values
 	}
-	flags := 0
-	for _, f := range []struct {
+	h[fieldCall] = []string{encodeCall(c, now)}
+	if _, ok := h["User-Agent"]; !ok {
+		h["User-Agent"] = []string{""} // otherwise the client adds its own
+	}
+	return h
+}
+
+// The parts of a call in their order: texts, which are escaped, then numbers.
+const (
+	partID = iota
+	partService
+	partRoute
+	partEntry
+	partMethod
+	partVersion
+	partPriority
+	partRank
+	partKept
+	partFlags
+	partTimeLeft
+	partHold
+	callParts
+
+	callTexts = partVersion
+)
+
+const partSeparator = " "
+
+func encodeCall(c *mustardmast.TargetCall, now time.Time) string {
+	flags := int64(0)
+	for _, f := range [...]struct {
 		set bool
-		bit int
+		bit int64
 	}{{c.Repeatable, flagRepeatable}, {c.Inner, flagInner}, {c.Returned, flagReturned}, {c.Body != nil, flagBody}, {c.Repeat, flagRepeat}, {c.Offered, flagOffered}} {
 		if f.set {
 			flags |= f.bit
 		}
 	}
-	h[fieldCallID] = []string{c.ID}
-	h[fieldService] = []string{c.Service}
-	h[fieldRoute] = []string{c.Route}
-	h[fieldEntry] = []string{c.Entry}
-	h[fieldVersion] = []string{strconv.FormatUint(c.Version, 10)}
-	h[fieldPriority] = []string{strconv.Itoa(c.Priority)}
-	h[fieldRank] = []string{strconv.Itoa(c.Rank)}
-	h[fieldKept] = []string{strconv.Itoa(int(max(1, c.Kept*keptScale)))}
-	h[fieldFlags] = []string{strconv.Itoa(flags)}
-	h[fieldTimeLeft] = []string{micros(c.Deadline.Sub(now))}
-	h[fieldHold] = []string{micros(c.Hold)}
-	h[fieldMethod] = []string{c.Method}
-	if _, ok := h["User-Agent"]; !ok {
-		h["User-Agent"] = []string{""} // otherwise the client adds its own
+	b := make([]byte, 0, callSize)
+	for _, text := range [callTexts]string{partID: c.ID, partService: c.Service, partRoute: c.Route, partEntry: c.Entry, partMethod: c.Method} {
+		b = append(append(b, url.QueryEscape(text)...), partSeparator...)
 	}
-	return h
+	for i, n := range [...]int64{int64(c.Version), int64(c.Priority), int64(c.Rank), int64(max(1, c.Kept*keptScale)), flags,
+		c.Deadline.Sub(now).Microseconds(), c.Hold.Microseconds()} {
+		if i > 0 {
+			b = append(b, partSeparator...)
+		}
+		b = strconv.AppendInt(b, n, 10)
+	}
+	return string(b)
 }
 
-func micros(d time.Duration) string { return strconv.FormatInt(d.Microseconds(), 10) }
+// callSize is the length in bytes of most encoded calls.
+const callSize = 192
 
-// decodeCall decodes a call that arrives now.
+// decodeCall decodes a call that arrives now. It takes the fields of the request over.
 func decodeCall(r *http.Request, now time.Time) (*mustardmast.TargetCall, error) {
-	d := decoder{h: r.Header}
-	flags := int(d.number(fieldFlags))
+	parts := strings.Split(r.Header.Get(fieldCall), partSeparator)
+	if len(parts) != callParts {
+		return nil, errors.Errorf("%s: %d parts in place of %d", fieldCall, len(parts), callParts)
+	}
+	for i, text := range parts[:callTexts] {
+		var err error
+		if parts[i], err = url.QueryUnescape(text); err != nil {
+			return nil, errors.Wrapf(err, "%s: part %d", fieldCall, i)
+		}
+	}
+	var numbers [callParts]int64
+	for i := callTexts; i < callParts; i++ {
+		var err error
+		if numbers[i], err = strconv.ParseInt(parts[i], 10, 64); err != nil {
+			return nil, errors.Wrapf(err, "%s: part %d", fieldCall, i)
+		}
+	}
+	flags := numbers[partFlags]
 	c := &mustardmast.TargetCall{
-		ID: r.Header.Get(fieldCallID), Service: r.Header.Get(fieldService), Route: r.Header.Get(fieldRoute),
-		Entry: r.Header.Get(fieldEntry), Method: r.Header.Get(fieldMethod), URI: r.RequestURI, Host: r.Host,
-		Version: uint64(d.number(fieldVersion)), Priority: int(d.number(fieldPriority)),
-		Rank: int(d.number(fieldRank)), Kept: float64(max(1, d.number(fieldKept))) / keptScale,
+		ID: parts[partID], Service: parts[partService], Route: parts[partRoute], Entry: parts[partEntry], Method: parts[partMethod],
+		URI: r.RequestURI, Host: r.Host, Version: uint64(numbers[partVersion]), Priority: int(numbers[partPriority]),
+		Rank: int(numbers[partRank]), Kept: float64(max(1, numbers[partKept])) / keptScale,
 		Repeatable: flags&flagRepeatable != 0, Inner: flags&flagInner != 0, Returned: flags&flagReturned != 0, Repeat: flags&flagRepeat != 0, Offered: flags&flagOffered != 0,
-		Deadline: now.Add(time.Duration(d.number(fieldTimeLeft)) * time.Microsecond),
-		Hold:     time.Duration(d.number(fieldHold)) * time.Microsecond,
-		Header:   make(http.Header, len(r.Header)), Length: r.ContentLength,
-	}
-	if d.err != nil {
-		return nil, d.err
+		Deadline: now.Add(time.Duration(numbers[partTimeLeft]) * time.Microsecond),
+		Hold:     time.Duration(numbers[partHold]) * time.Microsecond,
+		Header:   r.Header, Length: r.ContentLength,
 	}
 	if flags&flagBody != 0 {
 		c.Body = r.Body
 	}
-	copyFields(c.Header, r.Header)
-	c.Header.Del("Content-Length")
+	delete(c.Header, fieldCall)
+	delete(c.Header, "Content-Length")
 	if agent, ok := c.Header["User-Agent"]; ok && len(agent) == 1 && agent[0] == "" {
 		delete(c.Header, "User-Agent")
 	}
 	return c, nil
 }
 
-// copyFields copies the fields that do not belong to the link.
-func copyFields(to, from http.Header) {
-	for name, values := range from {
-		if !strings.HasPrefix(textproto.CanonicalMIMEHeaderKey(name), prefix) {
-			to[name] = values
-		}
-	}
-}
-
-// decoder reads fields and keeps the first error.
-type decoder struct {
-	h   http.Header
-	err error
-}
-
-func (d *decoder) number(field string) int64 {
-	n, err := strconv.ParseInt(d.h.Get(field), 10, 64)
-	if err != nil && d.err == nil {
-		d.err = errors.Errorf("%s: %q is not a number", field, d.h.Get(field))
-	}
-	return n
-}
-
 const reportFields = 8
 
 func encodeReport(r mustardmast.TargetReport) string {
@@ -173,16 +174,22 @@
 	}, true
 }
 
+// The parts of an error in their order.
+const (
+	errorKind = iota
+	errorOutcome
+	errorRetryAfter
+	errorDetail
+	errorParts
+)
+
 // writeError encodes an error of the executing node.
 func writeError(w http.ResponseWriter, err error) {
 	f := fault.From(err)
-	h := w.Header()
-	h[fieldError] = []string{f.Kind().String()}
-	h[fieldOutcome] = []string{f.Outcome().String()}
-	h[fieldDetail] = []string{strings.ToValidUTF8(strings.Map(printable, f.Detail()), "?")}
-	if f.RetryAfter() > 0 {
-		h[fieldRetryAfter] = []string{micros(f.RetryAfter())}
-	}
+	w.Header()[fieldError] = []string{strings.Join([]string{
+		errorKind: f.Kind().String(), errorOutcome: f.Outcome().String(), errorRetryAfter: strconv.FormatInt(f.RetryAfter().Microseconds(), 10),
+		errorDetail: strings.ToValidUTF8(strings.Map(printable, f.Detail()), "?"),
+	}, partSeparator)}
 	w.WriteHeader(f.Kind().Answer().Status)
 }
 
@@ -195,18 +202,20 @@
 
 // readError decodes an error of the executing node; nil if the answer is a target's.
 func readError(h http.Header) error {
-	name := h.Get(fieldError)
-	if name == "" {
+	text := h.Get(fieldError)
+	if text == "" {
 		return nil
 	}
-	kind, _ := fault.Parse(name)
-	f := fault.New(kind, h.Get(fieldDetail))
-	if h.Get(fieldOutcome) == fault.NotExecuted.String() {
+	parts := strings.SplitN(text, partSeparator, errorParts)
+	if len(parts) != errorParts {
+		return fault.Newf(fault.PeerLost, "%s: %q", fieldError, text).WithOutcome(fault.Unknown)
+	}
+	kind, _ := fault.Parse(parts[errorKind])
+	f := fault.New(kind, parts[errorDetail]).WithOutcome(fault.Unknown)
+	if parts[errorOutcome] == fault.NotExecuted.String() {
 		f = f.WithOutcome(fault.NotExecuted)
-	} else {
-		f = f.WithOutcome(fault.Unknown)
 	}
-	if us, err := strconv.ParseInt(h.Get(fieldRetryAfter), 10, 64); err == nil {
+	if us, err := strconv.ParseInt(parts[errorRetryAfter], 10, 64); err == nil && us > 0 {
 		f = f.WithRetryAfter(time.Duration(us) * time.Microsecond)
 	}
 	return f
--- a/io/hostlink/hostlink_test.go
+++ b/io/hostlink/hostlink_test.go
@@ -85,6 +85,28 @@
 	assert.DeepEqual(t, got, *sent)
 }
 
+// Guards against texts of clients and operators that end a part of an encoded call early, and against a client or a target
+// that uses the names of the link's own fields.
+func TestTextsThatLookLikeTheEncoding(t *testing.T) {
+	sent := call()
+	sent.ID, sent.Route, sent.Service = "a b%20\tc", "h.example/ž /+/", ""
+	sent.Header["Mustardmast-Call"] = []string{"1 2 3"}
+	var got mustardmast.TargetCall
+	address, c := serve(t, &node{execute: func(_ context.Context, c *mustardmast.TargetCall) (*mustardmast.TargetReply, error) {
+		got = *c
+		header := http.Header{"Mustardmast-Error": {"queue-full not-executed 0 no"}, "Mustardmast-Report": {"x"}}
+		return &mustardmast.TargetReply{Status: 200, Header: header, Length: 2, Body: io.NopCloser(strings.NewReader("ok"))}, nil
+	}})
+	reply, _, reported, err := c.Execute(context.Background(), address, sent)
+	assert.NilError(t, err)
+	assert.NilError(t, reply.Body.Close())
+	assert.Assert(t, reported)
+	assert.Equal(t, reply.Status, 200)
+	assert.Equal(t, got.ID, sent.ID)
+	assert.Equal(t, got.Route, sent.Route)
+	assert.Equal(t, got.Service, "")
+}
+
 // Guards against an outcome that changes on its way: not-executed must stay a promise, and unknown must not become one.
 func TestErrorsKeepTheirOutcome(t *testing.T) {
 	for _, want := range []*fault.Error{
--- a/io/hostlink/server.go
+++ b/io/hostlink/server.go
@@ -130,14 +130,18 @@
 		return
 	}
 	reply, report, err := s.executor.Execute(r.Context(), c)
-	w.Header()[fieldReport] = []string{encodeReport(report)}
 	w.Header()["Date"] = nil
 	if err != nil {
+		w.Header()[fieldReport] = []string{encodeReport(report)}
 		writeError(w, err)
 		return
 	}
 	defer func() { _ = reply.Body.Close() }() // the read has told of a failure already
-	copyFields(w.Header(), reply.Header)
+	for name, values := range reply.Header {
+		w.Header()[name] = values
+	}
+	delete(w.Header(), fieldError) // only the node's own answers have it
+	w.Header()[fieldReport] = []string{encodeReport(report)}
 	if _, ok := reply.Header["Content-Type"]; !ok {
 		w.Header()["Content-Type"] = nil
 	}
--- a/io/message/copy_test.go
+++ b/io/message/copy_test.go
@@ -22,6 +22,11 @@
 			assert.Equal(t, n, int64(size))
 			assert.Equal(t, out.Len(), size)
 		}
+		var out bytes.Buffer
+		n, err := message.Copy(&out, strings.NewReader(strings.Repeat("x", size)), int64(size))
+		assert.NilError(t, err)
+		assert.Equal(t, n, int64(size))
+		assert.Equal(t, out.String(), strings.Repeat("x", size))
 	}
 }
 
--- a/sidecar/cluster_test.go
+++ b/sidecar/cluster_test.go
@@ -27,7 +27,7 @@
 
 // cluster is nodes with their targets, a store, and a configuration, on loopback addresses of their own.
 type cluster struct {
-	t     *testing.T
+	t     testing.TB
 	store *storestub.Stub
 	addr  string // of the store
 	hosts []*host
@@ -52,7 +52,7 @@
 
 var nextIP atomic.Int32
 
-func newCluster(t *testing.T) *cluster {
+func newCluster(t testing.TB) *cluster {
 	t.Helper()
 	c := &cluster{t: t, store: storestub.New()}
 	s := httptest.NewServer(c.store)
@@ -162,7 +162,7 @@
 	})
 }
 
-func eventually(t *testing.T, within time.Duration, ok func() bool) {
+func eventually(t testing.TB, within time.Duration, ok func() bool) {
 	t.Helper()
 	for end := time.Now().Add(within); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
 		if ok() {
@@ -193,7 +193,7 @@
 	runs map[string]int
 }
 
-func newTarget(t *testing.T, h *host, at, id string) *target {
+func newTarget(t testing.TB, h *host, at, id string) *target {
 	t.Helper()
 	l, err := net.Listen("tcp", at)
 	assert.NilError(t, err)
--- a/sidecar/proxy_test.go
+++ b/sidecar/proxy_test.go
@@ -27,7 +27,7 @@
 	silent    atomic.Bool // nothing passes any more, and neither side is told
 }
 
-func newProxy(t *testing.T, at, to string) *proxy {
+func newProxy(t testing.TB, at, to string) *proxy {
 	t.Helper()
 	l, err := net.Listen("tcp", at)
 	assert.NilError(t, err)
