io/placement: a caller that leaves while its call waits for a target is told apart from no error at all

Cause: choose returned without a reason when the caller left during its pause, and the answer was a nil error of a concrete type. Change: the reason is kept, with the outcome not-executed.

--- a/io/placement/attempt.go
+++ b/io/placement/attempt.go
@@ -45,6 +45,7 @@
 		clear(a.exclude)
 		select {
 		case <-ctx.Done():
+			a.last = fault.Wrap(ctx.Err(), fault.Canceled, "while no target was reachable").WithOutcome(fault.NotExecuted)
 			return roster.Record{}, false
 		case <-time.After(innerPause):
 		}
