sidecar: a request on which the node fails, and what libraries log, are events of the log

Cause: panics of the handler and messages of net/http went to standard error in their own format, without the request's id. Change: the handler's panics are logged with the request's id and stack and counted, and the connection ends as before; the standard logger writes library-message events, bounded like the others. Measured: lint and tests of the packages pass.

--- a/cmd/mustardmast/main.go
+++ b/cmd/mustardmast/main.go
@@ -4,6 +4,7 @@
 import (
 	"context"
 	"fmt"
+	"log"
 	"os"
 	"os/signal"
 	"runtime/debug"
@@ -60,6 +61,8 @@
 	if err != nil {
 		return err
 	}
+	log.SetFlags(0)
+	log.SetOutput(s.LibraryLog())
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
 	reload := make(chan os.Signal, 1)
--- a/io/decisions/decisions.go
+++ b/io/decisions/decisions.go
@@ -5,6 +5,7 @@
 package decisions
 
 import (
+	"bytes"
 	"fmt"
 	"net/http"
 	"strconv"
@@ -56,7 +57,7 @@
 	hostDown func(host string, err error)
 	lost     func(id string, err error)
 
-	answered, failed, rejected, offered, served, turned, ended limiter
+	answered, failed, rejected, offered, served, turned, ended, panicked, library limiter
 
 	latency, wait, run           *metrics.PrometheusHistogram
 	limited                      *metrics.Counter
@@ -158,6 +159,22 @@
 	}
 }
 
+// Panicked implements ingress.Observer.
+func (r *Recorder) Panicked(id string, cause any) {
+	r.requests(0, fault.Internal.String()).Inc()
+	if r.writes(&r.panicked, servedPerSecond) {
+		r.log.Write(eventlog.HandlerPanicked, zap.String("request", id), zap.Any("cause", cause), zap.Stack("stack"))
+	}
+}
+
+// Write implements io.Writer for what libraries log by themselves. It never fails.
+func (r *Recorder) Write(line []byte) (int, error) {
+	if r.writes(&r.library, servedPerSecond) {
+		r.log.Write(eventlog.LibraryMessage, zap.ByteString("message", bytes.TrimSpace(line)))
+	}
+	return len(line), nil
+}
+
 // Placed implements placement.Observer.
 func (r *Recorder) Placed(c *mustardmast.TargetCall, o placement.Offer) {
 	r.offers.of(o.Err).Inc()
--- a/io/eventlog/eventlog.go
+++ b/io/eventlog/eventlog.go
@@ -24,6 +24,7 @@
 	ServerFailed           Event = 104
 	SettingsReloaded       Event = 105
 	SettingsRejected       Event = 106
+	LibraryMessage         Event = 107
 	TargetReady            Event = 200
 	TargetNotReady         Event = 201
 	TargetDraining         Event = 202
@@ -76,6 +77,7 @@
 	ServerFailed:           {zapcore.ErrorLevel, "server-failed", "a listener ended with an error"},
 	SettingsReloaded:       {zapcore.InfoLevel, "settings-reloaded", "the settings file was read again; what can change without a restart is in force"},
 	SettingsRejected:       {zapcore.ErrorLevel, "settings-rejected", "the changed settings file has faults; the settings in force stay"},
+	LibraryMessage:         {zapcore.WarnLevel, "library-message", "what a library logs by itself, such as a peer's connection that ended in an unusual way"},
 	TargetReady:            {zapcore.InfoLevel, "target-ready", "the target on this host takes calls"},
 	TargetNotReady:         {zapcore.WarnLevel, "target-not-ready", "the target missed its heartbeats or has not announced itself"},
 	TargetDraining:         {zapcore.InfoLevel, "target-draining", "the target gets no new calls"},
--- a/io/ingress/ingress.go
+++ b/io/ingress/ingress.go
@@ -58,6 +58,8 @@
 	Answered(c *mustardmast.TargetCall, status int, err error, took time.Duration)
 	// Rejected is called for a request that no route or limit allows.
 	Rejected(id, host, path string, status int, reason string, version uint64)
+	// Panicked is called for a request on which the node itself failed. Its connection ends without an answer.
+	Panicked(id string, cause any)
 }
 
 // Parts are what a Handler is built from.
@@ -105,6 +107,7 @@
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	h.active.Add(1)
 	defer h.active.Add(-1)
+	defer h.recovered(r)
 	began := time.Now()
 	if h.parts.Leaving() {
 		w.Header().Set("Connection", "close")
@@ -132,6 +135,18 @@
 	}
 }
 
+// recovered reports a panic other than the one that ends a connection, and ends the connection.
+func (h *Handler) recovered(r *http.Request) {
+	switch cause := recover(); cause {
+	case nil:
+	case http.ErrAbortHandler:
+		panic(cause)
+	default:
+		h.parts.Observer.Panicked(r.Header.Get(h.parts.Names.RequestID), cause)
+		panic(http.ErrAbortHandler)
+	}
+}
+
 // accept matches a request to its route and takes it apart. It answers those that it does not accept.
 func (h *Handler) accept(w http.ResponseWriter, r *http.Request, now time.Time) (*request, bool) {
 	id, path := r.Header.Get(h.parts.Names.RequestID), r.URL.EscapedPath()
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"net/http"
 	"net/netip"
@@ -18,6 +19,7 @@
 	"mustardmast/core/intake"
 	"mustardmast/core/lifetime"
 	"mustardmast/io/announce"
+	"mustardmast/io/decisions"
 	"mustardmast/io/eventlog"
 	"mustardmast/io/fleet"
 	"mustardmast/io/hostlink"
@@ -64,6 +66,7 @@
 	log      *eventlog.Log
 	sink     *logsink.Sink
 	probes   *metrics.Counter
+	recorder *decisions.Recorder
 }
 
 // New returns a sidecar with the settings of a file. It does not listen yet.
@@ -71,13 +74,17 @@
 
 func newSidecar(path settingsFile, s *liveSettings, t *lifetime.Tracker, i *intake.Intake, p *targetconn.Pool, e *localtarget.Executor,
 	h *ingress.Handler, f *fleet.Fleet, n *targetNews, set *metrics.Set, l *eventlog.Log, sink *logsink.Sink,
+	r *decisions.Recorder,
 ) *Sidecar {
 	return &Sidecar{
 		path: path, settings: s, tracker: t, intake: i, pool: p, executor: e, ingress: h, fleet: f, news: n, set: set, log: l, sink: sink,
-		probes: set.NewCounter("mustardmast_probes_total"),
+		probes: set.NewCounter("mustardmast_probes_total"), recorder: r,
 	}
 }
 
+// LibraryLog takes what libraries log by themselves into the log of the node.
+func (s *Sidecar) LibraryLog() io.Writer { return s.recorder }
+
 // Run serves until ctx ends and then makes a planned stop. Reload is sent a value when the settings file has changed.
 func (s *Sidecar) Run(ctx context.Context, reload <-chan os.Signal) error {
 	conf := s.settings.Load()
--- a/sidecar/wire_gen.go
+++ b/sidecar/wire_gen.go
@@ -42,6 +42,6 @@
 	placer := newPlacer(roster, executor, client, allowance, levels, recorder)
 	returningCallers := returning.New()
 	handler := newIngress(sidecarLiveSettings, fleet, executor, placer, levels, returningCallers, recorder, sidecarTargetNews)
-	sidecar := newSidecar(f, sidecarLiveSettings, tracker, intakeIntake, pool, executor, handler, fleet, sidecarTargetNews, set, log, sink)
+	sidecar := newSidecar(f, sidecarLiveSettings, tracker, intakeIntake, pool, executor, handler, fleet, sidecarTargetNews, set, log, sink, recorder)
 	return sidecar, nil
 }
