--- a/io/hostlink/codec.go
+++ b/io/hostlink/codec.go
@@ -1,10 +1,8 @@
 package hostlink
 
 import (
+	"encoding/binary"
 	"net/http"
-	"net/url"
-	"strconv"
-	"strings"
 	"time"
 
 	"github.com/pkg/errors"
@@ -13,14 +11,6 @@
 	"mustardmast/core/fault"
 )
 
-// Header fields between nodes. A call and a report are one field each: a header with a dozen fields costs both nodes
-// several times as much.
-const (
-	fieldCall   = "Mustardmast-Call"
-	fieldReport = "Mustardmast-Report"
-	fieldError  = "Mustardmast-Error"
-)
-
 // Flags of a call.
 const (
 	flagRepeatable = 1 << iota
@@ -31,41 +21,104 @@
 	flagOffered
 )
 
-// callHeader encodes a call. Times are sent as what is left of them, because hosts' clocks differ.
-func callHeader(c *mustardmast.TargetCall, now time.Time) http.Header {
-	h := make(http.Header, len(c.Header)+2)
-	for name, values := range c.Header {
-		h[name] = values
+// keptScale is in which parts the share of requests let through is sent, and levelScale a level.
+const (
+	keptScale  = 1000
+	levelScale = 1000
+)
+
+// headSize is the length in bytes of most encoded heads.
+const headSize = 512
+
+// encoder appends texts, which their length precedes, and numbers.
+type encoder struct{ b []byte }
+
+func (e *encoder) number(n int64) { e.b = binary.AppendVarint(e.b, n) }
+
+func (e *encoder) text(s string) {
+	e.b = binary.AppendUvarint(e.b, uint64(len(s)))
+	e.b = append(e.b, s...)
+}
+
+func (e *encoder) header(h http.Header) {
+	e.number(int64(len(h)))
+	for name, values := range h {
+		e.text(name)
+		e.number(int64(len(values)))
+		for _, v := range values {
+			e.text(v)
+		}
 	}
-	h[fieldCall] = []string{encodeCall(c, now)}
-	if _, ok := h["User-Agent"]; !ok {
-		h["User-Agent"] = []string{""} // otherwise the client adds its own
+}
+
+// head returns what was encoded with its length before it, which split takes off again.
+func (e *encoder) head() []byte {
+	out := make([]byte, 0, binary.MaxVarintLen32+len(e.b))
+	return append(binary.AppendUvarint(out, uint64(len(e.b))), e.b...)
+}
+
+// decoder reads what an encoder has written, and keeps the first error.
+type decoder struct {
+	s   string
+	err error
+}
+
+func (d *decoder) fail() { d.err, d.s = errors.New("the head ends early"), "" }
+
+func (d *decoder) number() int64 {
+	var u uint64
+	for i := 0; i < len(d.s) && i < binary.MaxVarintLen64; i++ {
+		u |= uint64(d.s[i]&0x7f) << (7 * i)
+		if d.s[i] < 0x80 {
+			d.s = d.s[i+1:]
+			return int64(u>>1) ^ -int64(u&1)
+		}
 	}
-	return h
+	d.fail()
+	return 0
 }
 
-// The parts of a call in their order: texts, which are escaped, then numbers.
-const (
-	partID = iota
-	partService
-	partRoute
-	partEntry
-	partMethod
-	partVersion
-	partPriority
-	partRank
-	partKept
-	partFlags
-	partTimeLeft
-	partHold
-	callParts
-
-	callTexts = partVersion
-)
+func (d *decoder) text() string {
+	var size uint64
+	for i := 0; i < len(d.s) && i < binary.MaxVarintLen32; i++ {
+		size |= uint64(d.s[i]&0x7f) << (7 * i)
+		if d.s[i] < 0x80 {
+			rest := d.s[i+1:]
+			if size > uint64(len(rest)) {
+				break
+			}
+			d.s = rest[size:]
+			return rest[:size]
+		}
+	}
+	d.fail()
+	return ""
+}
 
-const partSeparator = " "
+func (d *decoder) header() http.Header {
+	n := d.number()
+	if n < 0 || n > int64(len(d.s)) { // each takes a byte at least
+		d.fail()
+		return nil
+	}
+	h := make(http.Header, n)
+	for ; n > 0 && d.err == nil; n-- {
+		name, count := d.text(), d.number()
+		if count < 0 || count > int64(len(d.s)) {
+			d.fail()
+			return nil
+		}
+		values := make([]string, count)
+		for i := range values {
+			values[i] = d.text()
+		}
+		h[name] = values
+	}
+	return h
+}
 
-func encodeCall(c *mustardmast.TargetCall, now time.Time) string {
+// encodeCall encodes a call. Times are sent as what is left of them, because hosts' clocks differ.
+func encodeCall(c *mustardmast.TargetCall, now time.Time) []byte {
 	flags := int64(0)
 	for _, f := range [...]struct {
 		set bool
@@ -75,79 +128,53 @@
 			flags |= f.bit
 		}
 	}
-	b := make([]byte, 0, callSize)
-	for _, text := range [callTexts]string{partID: c.ID, partService: c.Service, partRoute: c.Route, partEntry: c.Entry, partMethod: c.Method} {
-		b = append(append(b, url.QueryEscape(text)...), partSeparator...)
+	e := encoder{b: make([]byte, 0, headSize)}
+	for _, text := range [...]string{c.ID, c.Service, c.Route, c.Entry, c.Method, c.URI, c.Host} {
+		e.text(text)
 	}
-	for i, n := range [...]int64{int64(c.Version), int64(c.Priority), int64(c.Rank), int64(max(1, c.Kept*keptScale)), flags,
-		c.Deadline.Sub(now).Microseconds(), c.Hold.Microseconds()} {
-		if i > 0 {
-			b = append(b, partSeparator...)
-		}
-		b = strconv.AppendInt(b, n, 10)
+	for _, n := range [...]int64{int64(c.Version), int64(c.Priority), int64(c.Rank), int64(max(1, c.Kept*keptScale)), flags,
+		c.Deadline.Sub(now).Microseconds(), c.Hold.Microseconds(), c.Length} {
+		e.number(n)
 	}
-	return string(b)
+	e.header(c.Header)
+	return e.head()
 }
 
-// callSize is the length in bytes of most encoded calls.
-const callSize = 192
-
-// decodeCall decodes a call that arrives now. It takes the fields of the request over.
-func decodeCall(r *http.Request, now time.Time) (*mustardmast.TargetCall, error) {
-	parts := strings.Split(r.Header.Get(fieldCall), partSeparator)
-	if len(parts) != callParts {
-		return nil, errors.Errorf("%s: %d parts in place of %d", fieldCall, len(parts), callParts)
-	}
-	for i, text := range parts[:callTexts] {
-		var err error
-		if parts[i], err = url.QueryUnescape(text); err != nil {
-			return nil, errors.Wrapf(err, "%s: part %d", fieldCall, i)
-		}
-	}
-	var numbers [callParts]int64
-	for i := callTexts; i < callParts; i++ {
-		var err error
-		if numbers[i], err = strconv.ParseInt(parts[i], 10, 64); err != nil {
-			return nil, errors.Wrapf(err, "%s: part %d", fieldCall, i)
-		}
-	}
-	flags := numbers[partFlags]
-	c := &mustardmast.TargetCall{
-		ID: parts[partID], Service: parts[partService], Route: parts[partRoute], Entry: parts[partEntry], Method: parts[partMethod],
-		URI: r.RequestURI, Host: r.Host, Version: uint64(numbers[partVersion]), Priority: int(numbers[partPriority]),
-		Rank: int(numbers[partRank]), Kept: float64(max(1, numbers[partKept])) / keptScale,
-		Repeatable: flags&flagRepeatable != 0, Inner: flags&flagInner != 0, Returned: flags&flagReturned != 0, Repeat: flags&flagRepeat != 0, Offered: flags&flagOffered != 0,
-		Deadline: now.Add(time.Duration(numbers[partTimeLeft]) * time.Microsecond),
-		Hold:     time.Duration(numbers[partHold]) * time.Microsecond,
-		Header:   r.Header, Length: r.ContentLength,
-	}
+// decodeCall decodes a call that arrives now. If it has a body, Body is not nil, but has to be set.
+func decodeCall(head []byte, now time.Time) (*mustardmast.TargetCall, error) {
+	d := decoder{s: string(head)}
+	c := &mustardmast.TargetCall{}
+	for _, text := range [...]*string{&c.ID, &c.Service, &c.Route, &c.Entry, &c.Method, &c.URI, &c.Host} {
+		*text = d.text()
+	}
+	c.Version, c.Priority, c.Rank = uint64(d.number()), int(d.number()), int(d.number())
+	c.Kept = float64(max(1, d.number())) / keptScale
+	flags := d.number()
+	c.Deadline = now.Add(time.Duration(d.number()) * time.Microsecond)
+	c.Hold, c.Length = time.Duration(d.number())*time.Microsecond, d.number()
+	c.Repeatable, c.Inner, c.Returned = flags&flagRepeatable != 0, flags&flagInner != 0, flags&flagReturned != 0
+	c.Repeat, c.Offered = flags&flagRepeat != 0, flags&flagOffered != 0
 	if flags&flagBody != 0 {
-		c.Body = r.Body
+		c.Body = http.NoBody
 	}
-	delete(c.Header, fieldCall)
-	delete(c.Header, "Content-Length")
-	if agent, ok := c.Header["User-Agent"]; ok && len(agent) == 1 && agent[0] == "" {
-		delete(c.Header, "User-Agent")
-	}
-	return c, nil
+	c.Header = d.header()
+	return c, d.err
 }
 
-const reportFields = 8
-
-func encodeReport(r mustardmast.TargetReport) string {
-	b := make([]byte, 0, 64)
-	for _, n := range []int64{bit(r.Ready), int64(r.Limit), int64(r.Running), int64(r.Waiting), r.Duration.Microseconds(),
+func encodeReport(e *encoder, r mustardmast.TargetReport) {
+	for _, n := range [...]int64{bit(r.Ready), int64(r.Limit), int64(r.Running), int64(r.Waiting), r.Duration.Microseconds(),
 		int64(r.Level * levelScale), int64(r.Version), bit(r.Nested)} {
-		b = append(strconv.AppendInt(b, n, 10), ',')
+		e.number(n)
 	}
-	return string(b) + r.Service
+	e.text(r.Service)
 }
 
-// keptScale is in which parts the share of requests let through is sent.
-const keptScale = 1000
-
-// levelScale is in which parts a level is sent.
-const levelScale = 1000
+func decodeReport(d *decoder) mustardmast.TargetReport {
+	r := mustardmast.TargetReport{Ready: d.number() == 1, Limit: int(d.number()), Running: int(d.number()), Waiting: int(d.number())}
+	r.Duration, r.Level = time.Duration(d.number())*time.Microsecond, float64(d.number())/levelScale
+	r.Version, r.Nested, r.Service = uint64(d.number()), d.number() == 1, d.text()
+	return r
+}
 
 func bit(set bool) int64 {
 	if set {
@@ -156,67 +183,45 @@
 	return 0
 }
 
-func decodeReport(text string) (mustardmast.TargetReport, bool) {
-	parts := strings.SplitN(text, ",", reportFields+1)
-	if len(parts) != reportFields+1 {
-		return mustardmast.TargetReport{}, false
-	}
-	var n [reportFields]int64
-	for i := range n {
-		var err error
-		if n[i], err = strconv.ParseInt(parts[i], 10, 64); err != nil {
-			return mustardmast.TargetReport{}, false
-		}
-	}
-	return mustardmast.TargetReport{
-		Ready: n[0] == 1, Limit: int(n[1]), Running: int(n[2]), Waiting: int(n[3]),
-		Duration: time.Duration(n[4]) * time.Microsecond, Level: float64(n[5]) / levelScale, Version: uint64(n[6]), Nested: n[7] == 1, Service: parts[reportFields],
-	}, true
-}
-
-// The parts of an error in their order.
-const (
-	errorKind = iota
-	errorOutcome
-	errorRetryAfter
-	errorDetail
-	errorParts
-)
-
-// writeError encodes an error of the executing node.
-func writeError(w http.ResponseWriter, err error) {
-	f := fault.From(err)
-	w.Header()[fieldError] = []string{strings.Join([]string{
-		errorKind: f.Kind().String(), errorOutcome: f.Outcome().String(), errorRetryAfter: strconv.FormatInt(f.RetryAfter().Microseconds(), 10),
-		errorDetail: strings.ToValidUTF8(strings.Map(printable, f.Detail()), "?"),
-	}, partSeparator)}
-	w.WriteHeader(f.Kind().Answer().Status)
-}
-
-func printable(r rune) rune {
-	if r < ' ' || r > '~' {
-		return '?'
-	}
-	return r
+// encodeReply encodes the head of a reply, or the error of the executing node.
+func encodeReply(r *mustardmast.TargetReply, report mustardmast.TargetReport, err error) []byte {
+	e := encoder{b: make([]byte, 0, headSize)}
+	encodeReport(&e, report)
+	if err != nil {
+		f := fault.From(err)
+		e.text(f.Kind().String())
+		e.text(f.Outcome().String())
+		e.number(f.RetryAfter().Microseconds())
+		e.text(f.Detail())
+		return e.head()
+	}
+	e.text("")
+	e.number(int64(r.Status))
+	e.number(r.Length)
+	e.header(r.Header)
+	return e.head()
 }
 
-// readError decodes an error of the executing node; nil if the answer is a target's.
-func readError(h http.Header) error {
-	text := h.Get(fieldError)
-	if text == "" {
-		return nil
-	}
-	parts := strings.SplitN(text, partSeparator, errorParts)
-	if len(parts) != errorParts {
-		return fault.Newf(fault.PeerLost, "%s: %q", fieldError, text).WithOutcome(fault.Unknown)
-	}
-	kind, _ := fault.Parse(parts[errorKind])
-	f := fault.New(kind, parts[errorDetail]).WithOutcome(fault.Unknown)
-	if parts[errorOutcome] == fault.NotExecuted.String() {
-		f = f.WithOutcome(fault.NotExecuted)
+// decodeReply decodes the head of a reply. Failed is the error of the executing node, nil if the reply is a target's.
+func decodeReply(head []byte) (reply *mustardmast.TargetReply, report mustardmast.TargetReport, failed, err error) {
+	d := decoder{s: string(head)}
+	report = decodeReport(&d)
+	if name := d.text(); name != "" {
+		kind, _ := fault.Parse(name)
+		outcome, retryAfter := d.text(), time.Duration(d.number())*time.Microsecond
+		f := fault.New(kind, d.text()).WithOutcome(fault.Unknown)
+		if outcome == fault.NotExecuted.String() {
+			f = f.WithOutcome(fault.NotExecuted)
+		}
+		if retryAfter > 0 {
+			f = f.WithRetryAfter(retryAfter)
+		}
+		failed = f
+	} else {
+		reply = &mustardmast.TargetReply{Status: int(d.number()), Length: d.number(), Header: d.header()}
 	}
-	if us, err := strconv.ParseInt(parts[errorRetryAfter], 10, 64); err == nil && us > 0 {
-		f = f.WithRetryAfter(time.Duration(us) * time.Microsecond)
+	if d.err != nil {
+		return nil, mustardmast.TargetReport{}, nil, fault.Wrap(d.err, fault.PeerLost, "reply of another node")
 	}
-	return f
+	return reply, report, failed, nil
 }
--- a/io/hostlink/hostlink_test.go
+++ b/io/hostlink/hostlink_test.go
@@ -1,12 +1,15 @@
 package hostlink_test
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -42,7 +45,7 @@
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
-	s := hostlink.NewServer(n, n).HTTP()
+	s := hostlink.NewServer(n, n)
 	go func() { _ = s.Serve(l) }()
 	t.Cleanup(func() { _ = s.Close() })
 	c := hostlink.NewClient(net.IPv4(127, 0, 0, 1))
@@ -216,7 +219,7 @@
 	plain, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
 	l := &countingListener{Listener: plain}
-	s := hostlink.NewServer(&node{}, &node{}).HTTP()
+	s := hostlink.NewServer(&node{}, &node{})
 	go func() { _ = s.Serve(l) }()
 	defer func() { _ = s.Close() }()
 	c := hostlink.NewClient(net.IPv4(127, 0, 0, 1))
@@ -243,3 +246,253 @@
 	assert.NilError(t, err)
 	assert.Equal(t, string(raw), "document")
 }
+
+// pattern is a body that shows bytes which are lost, doubled or out of order.
+func pattern(size int) []byte {
+	b := make([]byte, size)
+	for i := range b {
+		b[i] = byte(i * 7 >> 3)
+	}
+	return b
+}
+
+// Guards against bodies that change on the way, of sizes around the frames and the window, with and without a length, in
+// memory and as a stream.
+func TestBodies(t *testing.T) {
+	address, c := serve(t, &node{execute: func(_ context.Context, c *mustardmast.TargetCall) (*mustardmast.TargetReply, error) {
+		var raw []byte
+		if c.Body != nil {
+			var err error
+			if raw, err = io.ReadAll(c.Body); err != nil {
+				return nil, fault.Wrap(err, fault.BadRequest, "body")
+			}
+		}
+		return &mustardmast.TargetReply{Status: 200, Header: http.Header{}, Length: c.Length, Body: io.NopCloser(bytes.NewReader(raw))}, nil
+	}})
+	for _, size := range []int{1, 16<<10 - 1, 16 << 10, 16<<10 + 1, 128 << 10, 128<<10 + 1, 1 << 20} {
+		for _, length := range []int64{int64(size), -1} {
+			for _, streamed := range []bool{false, true} {
+				sent := call()
+				sent.Length, sent.Body = length, bytes.NewReader(pattern(size))
+				if streamed {
+					sent.Body = io.MultiReader(sent.Body)
+				}
+				reply, _, _, err := c.Execute(context.Background(), address, sent)
+				assert.NilError(t, err)
+				got, err := io.ReadAll(reply.Body)
+				assert.NilError(t, err)
+				assert.NilError(t, reply.Body.Close())
+				assert.Assert(t, bytes.Equal(got, pattern(size)), "%d bytes, length %d, streamed %v: %d came", size, length, streamed, len(got))
+			}
+		}
+	}
+}
+
+// Guards against a body whose caller broke off looking complete to the target.
+func TestABodyThatBreaksOff(t *testing.T) {
+	read := make(chan error, 1)
+	address, c := serve(t, &node{execute: func(_ context.Context, c *mustardmast.TargetCall) (*mustardmast.TargetReply, error) {
+		_, err := io.ReadAll(c.Body)
+		read <- err
+		return nil, fault.New(fault.BadRequest, "")
+	}})
+	sent := call()
+	sent.Length, sent.Body = 200<<10, io.MultiReader(bytes.NewReader(pattern(100<<10)), broken{})
+	_, _, _, err := c.Execute(context.Background(), address, sent)
+	assert.Assert(t, err != nil)
+	assert.Assert(t, <-read != nil)
+}
+
+// Guards against a reply that a slow caller does not read filling the memory of the node that sends it or of the one that
+// receives it, and against it holding up other calls.
+func TestASlowReader(t *testing.T) {
+	const size = 4 << 20
+	var sent atomic.Int64
+	address, c := serve(t, &node{execute: func(_ context.Context, c *mustardmast.TargetCall) (*mustardmast.TargetReply, error) {
+		if c.ID == "small" {
+			return &mustardmast.TargetReply{Status: 200, Length: 2, Body: io.NopCloser(strings.NewReader("ok"))}, nil
+		}
+		return &mustardmast.TargetReply{Status: 200, Length: size, Body: io.NopCloser(&counted{Reader: bytes.NewReader(pattern(size)), n: &sent})}, nil
+	}})
+	slow, _, _, err := c.Execute(context.Background(), address, call())
+	assert.NilError(t, err)
+	time.Sleep(100 * time.Millisecond)
+	assert.Assert(t, sent.Load() < 256<<10, "%d bytes are under way", sent.Load())
+	small := call()
+	small.ID = "small"
+	began := time.Now()
+	reply, _, _, err := c.Execute(context.Background(), address, small)
+	assert.NilError(t, err)
+	assert.NilError(t, reply.Body.Close())
+	assert.Assert(t, time.Since(began) < time.Second)
+	got, err := io.ReadAll(slow.Body)
+	assert.NilError(t, err)
+	assert.Assert(t, bytes.Equal(got, pattern(size)))
+	assert.NilError(t, slow.Body.Close())
+}
+
+type counted struct {
+	io.Reader
+	n *atomic.Int64
+}
+
+func (c *counted) Read(p []byte) (int, error) {
+	n, err := c.Reader.Read(p)
+	c.n.Add(int64(n))
+	return n, err
+}
+
+// Guards against work that goes on at the other node after its caller has left, also while a reply is being read.
+func TestACallThatIsGivenUp(t *testing.T) {
+	ended := make(chan time.Time, 1)
+	address, c := serve(t, &node{execute: func(ctx context.Context, _ *mustardmast.TargetCall) (*mustardmast.TargetReply, error) {
+		r, w := io.Pipe()
+		context.AfterFunc(ctx, func() {
+			ended <- time.Now()
+			_ = w.CloseWithError(ctx.Err())
+		})
+		go func() { _, _ = w.Write(pattern(64 << 10)) }()
+		return &mustardmast.TargetReply{Status: 200, Length: -1, Body: r}, nil
+	}})
+	reply, _, _, err := c.Execute(context.Background(), address, call())
+	assert.NilError(t, err)
+	_, err = io.ReadFull(reply.Body, make([]byte, 1000))
+	assert.NilError(t, err)
+	left := time.Now()
+	assert.NilError(t, reply.Body.Close())
+	assert.Assert(t, (<-ended).Sub(left) < 500*time.Millisecond)
+
+	ctx, cancel := context.WithCancel(context.Background())
+	reply, _, _, err = c.Execute(ctx, address, call())
+	assert.NilError(t, err)
+	left = time.Now()
+	cancel()
+	_, err = io.ReadAll(reply.Body)
+	assert.Assert(t, err != nil)
+	assert.NilError(t, reply.Body.Close())
+	assert.Assert(t, (<-ended).Sub(left) < 500*time.Millisecond)
+}
+
+// Guards against calls that wait one after another for a host that is not there, and for one that does not answer.
+func TestManyCallsToAHostThatCannotBeReached(t *testing.T) {
+	c := hostlink.NewClient(net.IPv4(127, 0, 0, 1))
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	assert.NilError(t, l.Close())
+	began := time.Now()
+	var wg sync.WaitGroup
+	for range 50 {
+		wg.Go(func() {
+			_, _, _, err := c.Execute(context.Background(), l.Addr().String(), call())
+			assert.Check(t, fault.From(err).Kind() == fault.PeerUnreachable)
+		})
+	}
+	wg.Wait()
+	assert.Assert(t, time.Since(began) < time.Second)
+}
+
+// Guards against a call that was under way being taken for one that has not run when its connection breaks, and against
+// the next call failing for it.
+func TestAConnectionThatBreaks(t *testing.T) {
+	started := make(chan struct{}, 1)
+	n := &node{execute: func(ctx context.Context, _ *mustardmast.TargetCall) (*mustardmast.TargetReply, error) {
+		started <- struct{}{}
+		<-ctx.Done()
+		return nil, fault.New(fault.Canceled, "")
+	}}
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	s := hostlink.NewServer(n, n)
+	go func() { _ = s.Serve(l) }()
+	c := hostlink.NewClient(net.IPv4(127, 0, 0, 1))
+	defer c.Close()
+	go func() {
+		<-started
+		_ = s.Close()
+	}()
+	_, _, _, err = c.Execute(context.Background(), l.Addr().String(), call())
+	assert.Equal(t, fault.From(err).Kind(), fault.PeerLost)
+	assert.Equal(t, fault.From(err).Outcome(), fault.Unknown)
+	_, _, _, err = c.Execute(context.Background(), l.Addr().String(), call())
+	assert.Equal(t, fault.From(err).Kind(), fault.PeerUnreachable)
+	assert.Equal(t, fault.From(err).Outcome(), fault.NotExecuted)
+}
+
+// Guards against bytes of another protocol, and frames that no node sends, being taken for calls or filling the memory.
+func TestOtherProtocols(t *testing.T) {
+	address, c := serve(t, &node{execute: func(context.Context, *mustardmast.TargetCall) (*mustardmast.TargetReply, error) {
+		return &mustardmast.TargetReply{Status: 200, Length: 0, Body: http.NoBody}, nil
+	}})
+	for _, bytes := range []string{
+		"GET / HTTP/1.1\r\nHost: x\r\n\r\n",
+		"PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n",
+		"mustardmast-link 1\n\xff\xff\xff\xff\x01\x00\x00\x00\x01",
+		"mustardmast-link 1\n\x00\x00\x00\x01\x01\x00\x00\x00\x01\x7f",
+	} {
+		n, err := net.Dial("tcp", address)
+		assert.NilError(t, err)
+		_, err = io.WriteString(n, bytes)
+		assert.NilError(t, err)
+		assert.NilError(t, n.SetReadDeadline(time.Now().Add(3*time.Second)))
+		got, err := io.ReadAll(n)
+		var timeout net.Error
+		assert.Assert(t, !errors.As(err, &timeout) || !timeout.Timeout(), "%q is not turned down", bytes)
+		assert.Equal(t, len(got), 0)
+		assert.NilError(t, n.Close())
+	}
+	reply, _, _, err := c.Execute(context.Background(), address, call())
+	assert.NilError(t, err)
+	assert.NilError(t, reply.Body.Close())
+}
+
+// Guards against replies that go to other calls, under many calls at a time.
+func TestManyCallsAtATime(t *testing.T) {
+	address, c := serve(t, &node{execute: func(_ context.Context, c *mustardmast.TargetCall) (*mustardmast.TargetReply, error) {
+		time.Sleep(time.Duration(len(c.ID)%3) * time.Millisecond)
+		return &mustardmast.TargetReply{Status: 200, Length: -1, Body: io.NopCloser(strings.NewReader("for " + c.ID))}, nil
+	}})
+	var wg sync.WaitGroup
+	for worker := range 40 {
+		wg.Go(func() {
+			for n := range 50 {
+				sent := call()
+				sent.ID = strings.Repeat("x", n) + strconv.Itoa(worker)
+				reply, _, _, err := c.Execute(context.Background(), address, sent)
+				if !assert.Check(t, err == nil, "%v", err) {
+					return
+				}
+				got, err := io.ReadAll(reply.Body)
+				assert.Check(t, err == nil && string(got) == "for "+sent.ID, "%v %.60s", err, got)
+			}
+		})
+	}
+	wg.Wait()
+}
+
+// Guards against an encoded head that was cut, or whose counts are false, being read beyond its end.
+func FuzzHeads(f *testing.F) {
+	address, c := "", hostlink.NewClient(net.IPv4(127, 0, 0, 1))
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(f, err)
+	s := hostlink.NewServer(&node{execute: func(context.Context, *mustardmast.TargetCall) (*mustardmast.TargetReply, error) {
+		return &mustardmast.TargetReply{Status: 200, Length: 0, Body: http.NoBody}, nil
+	}}, &node{})
+	go func() { _ = s.Serve(l) }()
+	address = l.Addr().String()
+	f.Add([]byte{3, 2, 'a'})
+	f.Add([]byte("\x80\x80\x80\x80\x80\x80\x80\x80\x80\x80\x80"))
+	f.Fuzz(func(t *testing.T, payload []byte) {
+		if len(payload) > 1<<16 {
+			return
+		}
+		n, err := net.Dial("tcp", address)
+		assert.NilError(t, err)
+		frame := append([]byte("mustardmast-link 1\n"), 0, 0, byte(len(payload)>>8), byte(len(payload)), 0x81, 0, 0, 0, 1)
+		_, err = n.Write(append(frame, payload...))
+		assert.NilError(t, err)
+		assert.NilError(t, n.Close())
+		reply, _, _, err := c.Execute(context.Background(), address, call())
+		assert.NilError(t, err)
+		assert.NilError(t, reply.Body.Close())
+	})
+}
--- a/io/hostlink/server.go
+++ b/io/hostlink/server.go
@@ -1,15 +1,21 @@
 package hostlink
 
 import (
+	"bytes"
+	"context"
 	"encoding/json"
 	"io"
+	"net"
 	"net/http"
+	"sync"
+	"syscall"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"mustardmast"
 	"mustardmast/core/fault"
 	"mustardmast/core/roster"
-	"mustardmast/io/message"
 )
 
 const (
@@ -18,6 +24,9 @@
 	linkHost     = "mustardmast-node" // host name of the requests that are for the node itself
 	mostStreams  = 4000               // calls at a time from one other node
 	mostExchange = 4 << 20            // bytes
+	// prefaceTimeout is how long a connection may take to name its protocol; a node sends it with its first call.
+	prefaceTimeout = 2 * time.Second
+	acceptPause    = 20 * time.Millisecond // after a connection that could not be taken
 )
 
 // News is what nodes tell each other of the hosts.
@@ -82,74 +91,170 @@
 type Server struct {
 	executor mustardmast.Executor
 	gossip   Gossip
+
+	mu       sync.Mutex
+	closed   bool
+	listener net.Listener
+	conns    map[*conn]struct{}
 }
 
 // NewServer returns a server that runs calls on an executor.
 func NewServer(e mustardmast.Executor, g Gossip) *Server {
-	return &Server{executor: e, gossip: g}
+	return &Server{executor: e, gossip: g, conns: map[*conn]struct{}{}}
 }
 
-// HTTP returns the HTTP server. It speaks HTTP/2 without encryption.
-func (s *Server) HTTP() *http.Server {
-	p := new(http.Protocols)
-	p.SetUnencryptedHTTP2(true)
-	return &http.Server{Handler: s, Protocols: p, IdleTimeout: abandoned, HTTP2: &http.HTTP2Config{
-		MaxConcurrentStreams: mostStreams, SendPingTimeout: pingAfter, PingTimeout: pingTimeout,
-	}}
+// Serve takes connections until Close. It always returns an error.
+func (s *Server) Serve(l net.Listener) error {
+	s.mu.Lock()
+	s.listener = l
+	closed := s.closed
+	s.mu.Unlock()
+	if closed {
+		return net.ErrClosed
+	}
+	for {
+		n, err := l.Accept()
+		var temporary net.Error
+		switch {
+		case err == nil:
+			go s.serve(n)
+		case errors.As(err, &temporary) && temporary.Timeout(), errors.Is(err, syscall.EMFILE), errors.Is(err, syscall.ECONNABORTED):
+			time.Sleep(acceptPause)
+		default:
+			return err
+		}
+	}
 }
 
-// ServeHTTP implements http.Handler.
-func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	if r.Host != linkHost {
-		s.execute(w, r)
+// Close ends the listener and all connections.
+func (s *Server) Close() error {
+	s.mu.Lock()
+	s.closed = true
+	l := s.listener
+	var conns []*conn
+	for c := range s.conns {
+		conns = append(conns, c)
+	}
+	s.mu.Unlock()
+	for _, c := range conns {
+		c.fail(errClosed)
+	}
+	if l == nil {
+		return nil
+	}
+	return l.Close()
+}
+
+func (s *Server) serve(n net.Conn) {
+	_ = n.SetReadDeadline(time.Now().Add(prefaceTimeout)) // without it the check of silent connections ends it
+	var opening [len(preface)]byte
+	if _, err := io.ReadFull(n, opening[:]); err != nil || string(opening[:]) != preface {
+		_ = n.Close() // it is no node of this version
 		return
 	}
-	switch r.URL.Path {
-	case exchangePath:
-		s.exchange(w, r)
-	case documentPath:
-		_, _ = w.Write(s.gossip.Document()) // a node that went away asks again
-	default:
-		http.NotFound(w, r)
+	_ = n.SetReadDeadline(time.Time{}) // a read that fails for it ends the connection
+	c := newConn(n, abandoned, s.called, s.gone)
+	s.mu.Lock()
+	closed := s.closed
+	s.conns[c] = struct{}{}
+	s.mu.Unlock()
+	if closed {
+		c.fail(errClosed)
+		return
 	}
+	c.read()
+}
+
+func (s *Server) gone(c *conn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.conns, c)
 }
 
-func (s *Server) exchange(w http.ResponseWriter, r *http.Request) {
-	var in wireNews
-	if err := json.NewDecoder(io.LimitReader(r.Body, mostExchange)).Decode(&in); err != nil {
-		http.Error(w, err.Error(), http.StatusBadRequest)
+// called starts a call.
+func (s *Server) called(c *conn, id uint32, head, body []byte, last bool) {
+	ctx, cancel := context.WithCancel(context.Background())
+	v := newStream()
+	v.conn, v.id, v.left = c, id, cancel
+	v.in.push(body, last)
+	if !c.accept(v) {
+		cancel()
+		go c.write(kindReply|flagLast, id, encodeReply(nil, mustardmast.TargetReport{}, fault.New(fault.QueueFull, "too many calls on one connection")))
 		return
 	}
-	_ = json.NewEncoder(w).Encode(newsToWire(s.gossip.Exchange(newsFromWire(in)))) // a node that went away asks again
+	go func() {
+		defer cancel()
+		complete := s.answer(ctx, v, head)
+		v.end(complete)
+	}()
 }
 
-func (s *Server) execute(w http.ResponseWriter, r *http.Request) {
-	c, err := decodeCall(r, time.Now())
+// answer runs a call and sends its reply. It returns false if the reply is not whole.
+func (s *Server) answer(ctx context.Context, v *stream, head []byte) bool {
+	c, err := decodeCall(head, time.Now())
 	if err != nil {
-		writeError(w, fault.Wrap(err, fault.BadRequest, "call of another node"))
-		return
+		return v.conn.write(kindReply|flagLast, v.id, encodeReply(nil, mustardmast.TargetReport{}, fault.Wrap(err, fault.BadRequest, "call of another node")))
+	}
+	if c.Body != nil {
+		c.Body = v.in
+	}
+	var reply *mustardmast.TargetReply
+	var report mustardmast.TargetReport
+	if c.Host == linkHost {
+		reply, err = s.own(c)
+	} else {
+		reply, report, err = s.executor.Execute(ctx, c)
 	}
-	reply, report, err := s.executor.Execute(r.Context(), c)
-	w.Header()["Date"] = nil
 	if err != nil {
-		w.Header()[fieldReport] = []string{encodeReport(report)}
-		writeError(w, err)
-		return
+		return v.conn.write(kindReply|flagLast, v.id, encodeReply(nil, report, err))
 	}
 	defer func() { _ = reply.Body.Close() }() // the read has told of a failure already
-	for name, values := range reply.Header {
-		w.Header()[name] = values
+	if c.Method == http.MethodHead {
+		reply.Length = 0 // it has no body
 	}
-	delete(w.Header(), fieldError) // only the node's own answers have it
-	w.Header()[fieldReport] = []string{encodeReport(report)}
-	if _, ok := reply.Header["Content-Type"]; !ok {
-		w.Header()["Content-Type"] = nil
+	first, whole, err := start(reply)
+	kind := byte(kindReply)
+	if whole {
+		kind |= flagLast
 	}
-	if c.Method == http.MethodHead {
-		w.Header().Del("Content-Length") // of a body that is not sent
+	v.out.spend(len(first))
+	if !v.conn.write(kind, v.id, encodeReply(reply, report, nil), first) || err != nil {
+		return false
 	}
-	w.WriteHeader(reply.Status)
-	if _, err := message.Copy(w, reply.Body, reply.Length); err != nil {
-		panic(http.ErrAbortHandler) // resets the stream, so that the answer does not look complete
+	return whole || v.send(reply.Body) == nil
+}
+
+// start reads what of a reply goes with its head. It returns whether that is all of it.
+func start(r *mustardmast.TargetReply) (first []byte, whole bool, err error) {
+	size := int64(chunk)
+	if r.Length >= 0 {
+		size = min(chunk, r.Length)
+	}
+	first = make([]byte, size+1) // one more, to meet the end
+	n, err := io.ReadFull(r.Body, first)
+	if errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) {
+		return first[:n], r.Length < 0 || int64(n) == r.Length, nil
+	}
+	return first[:n], false, err
+}
+
+// own answers a request that is for the node itself.
+func (s *Server) own(c *mustardmast.TargetCall) (*mustardmast.TargetReply, error) {
+	var raw []byte
+	switch c.URI {
+	case documentPath:
+		raw = s.gossip.Document()
+	case exchangePath:
+		var in wireNews
+		err := json.NewDecoder(io.LimitReader(c.Body, mostExchange)).Decode(&in)
+		if err == nil {
+			raw, err = json.Marshal(newsToWire(s.gossip.Exchange(newsFromWire(in))))
+		}
+		if err != nil {
+			return nil, fault.Wrap(err, fault.BadRequest, "exchange")
+		}
+	default:
+		return nil, fault.Newf(fault.NotFound, "no such path: %q", c.URI)
 	}
+	return &mustardmast.TargetReply{Status: http.StatusOK, Length: int64(len(raw)), Body: io.NopCloser(bytes.NewReader(raw))}, nil
 }
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -69,6 +69,12 @@
 	recorder *decisions.Recorder
 }
 
+// server is a listener's protocol.
+type server interface {
+	Serve(l net.Listener) error
+	Close() error
+}
+
 // New returns a sidecar with the settings of a file. It does not listen yet.
 func New(path string) (*Sidecar, error) { return build(settingsFile(path)) }
 
@@ -95,10 +101,10 @@
 	servers := []struct {
 		name    string
 		address netip.AddrPort
-		server  *http.Server
+		server  server
 	}{
 		{"callers", conf.Callers(), callers.server},
-		{"peers", peerAddress, hostlink.NewServer(s.executor, s.fleet).HTTP()},
+		{"peers", peerAddress, hostlink.NewServer(s.executor, s.fleet)},
 		{"announcements", conf.Announcements(), plainServer(s.announcements())},
 		{"readiness", conf.Readiness(), plainServer(http.HandlerFunc(s.readiness))},
 		{"metrics", netip.AddrPortFrom(conf.IP(), conf.MetricsPort()), plainServer(http.HandlerFunc(s.metrics))},
@@ -108,7 +114,7 @@
 		if err != nil {
 			return errors.Wrap(err, v.name)
 		}
-		if v.server == callers.server {
+		if v.server == server(callers.server) {
 			callers.listener = l
 		}
 		go func() {
