--- a/io/targetconn/exchange.go
+++ b/io/targetconn/exchange.go
@@ -69,19 +69,28 @@
 
 func (p *Pool) send(cn *conn, c *mustardmast.TargetCall, lifetime string, left time.Duration) (*upload, error) {
 	var b bytes.Buffer
-	fmt.Fprintf(&b, "%s %s HTTP/1.1\r\nHost: %s\r\n", c.Method, c.URI, c.Host)
+	b.Grow(requestHead)
+	for _, part := range [...]string{c.Method, " ", c.URI, " HTTP/1.1\r\nHost: ", c.Host, "\r\n"} {
+		b.WriteString(part)
+	}
+	field := func(name, value string) {
+		b.WriteString(name)
+		b.WriteString(": ")
+		b.WriteString(value)
+		b.WriteString("\r\n")
+	}
 	for name, values := range c.Header {
 		for _, v := range values {
-			b.WriteString(name + ": " + v + "\r\n")
+			field(name, v)
 		}
 	}
-	b.WriteString(p.names.TimeLeft + ": " + strconv.FormatInt(max(1, left.Milliseconds()), 10) + "\r\n")
-	b.WriteString(p.names.Expected + ": " + lifetime + "\r\n")
+	field(p.names.TimeLeft, strconv.FormatInt(max(1, left.Milliseconds()), 10))
+	field(p.names.Expected, lifetime)
 	switch {
 	case c.Body != nil && c.Length < 0:
-		b.WriteString("Transfer-Encoding: chunked\r\n")
+		field("Transfer-Encoding", "chunked")
 	case c.Body != nil || c.Method == http.MethodPost || c.Method == http.MethodPut || c.Method == http.MethodPatch:
-		b.WriteString("Content-Length: " + strconv.FormatInt(max(0, c.Length), 10) + "\r\n")
+		field("Content-Length", strconv.FormatInt(max(0, c.Length), 10))
 	}
 	b.WriteString("\r\n")
 	if c.Body == nil || c.Length == 0 {
--- a/io/targetconn/targetconn.go
+++ b/io/targetconn/targetconn.go
@@ -29,9 +29,10 @@
 	// answerGrace is the wait for an answer beyond the deadline; the target itself answers at the deadline.
 	answerGrace = 150 * time.Millisecond
 	// inlineBody is the largest body that is sent in one write with its head.
-	inlineBody = 16 << 10
-	copyBuffer = 32 << 10 // bytes of one chunk of a body whose length is not known
-	readBuffer = 4 << 10
+	inlineBody  = 16 << 10
+	requestHead = 1 << 10  // bytes of most heads
+	copyBuffer  = 32 << 10 // bytes of one chunk of a body whose length is not known
+	readBuffer  = 4 << 10
 	// mostForeign bounds the answers to earlier requests that are passed over.
 	mostForeign = 4
 	maxIdle     = 512
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -37,7 +37,7 @@
 	// memoryPart is the part of the process's memory that the garbage collector may let the heap grow to.
 	memoryPart = 0.5
 	// heapGrowth is the percentage by which the heap grows between two collections. Memory is billed.
-	heapGrowth = 60
+	heapGrowth = 100
 	// noticePeriod is the time until clients go elsewhere: the platform asks once a second, and two misses count. Those
 	// that come later are turned away, so that their requests have not begun when the process ends.
 	noticePeriod = 2500 * time.Millisecond
