io/targetconn, io/hostlink: heads of answers are bounded

Cause: found by reading: a target that sends header fields without end was read until the deadline, and a head above the largest frame would have ended the connection between two nodes with all calls on it. Change: 192 KiB for the head of an answer; a larger one is a failure of that call only, on the link too.

--- a/io/hostlink/client.go
+++ b/io/hostlink/client.go
@@ -124,13 +124,18 @@
 	if err := c.open(ctx, address, s); err != nil {
 		return nil, mustardmast.TargetReport{}, false, lost(ctx, err, false)
 	}
+	head := encodeCall(call, time.Now())
+	if len(head) > mostHead {
+		s.end(true)
+		return nil, mustardmast.TargetReport{}, false, fault.New(fault.BadRequest, "the head of the request is too large")
+	}
 	first, rest := inline(call.Body, call.Length)
 	s.out.spend(len(first))
 	kind := byte(kindCall)
 	if rest == nil {
 		kind |= flagLast
 	}
-	if !s.conn.write(kind, s.id, encodeCall(call, time.Now()), first) { // it has ended since
+	if !s.conn.write(kind, s.id, head, first) { // it has ended since
 		s.end(false)
 		return nil, mustardmast.TargetReport{}, false, lost(ctx, errClosed, false)
 	}
--- a/io/hostlink/frame.go
+++ b/io/hostlink/frame.go
@@ -23,8 +23,10 @@
 const (
 	// preface opens a connection, with the version of the format.
 	preface = "mustardmast-link 1\n"
-	// mostPayload is the largest payload in bytes. Heads are bounded by the header limit of 64 KiB at the entry.
+	// mostPayload is the largest payload in bytes, and mostHead the largest head. Those of requests are bounded by 64 KiB at
+	// the entry, those of answers by 192 KiB at the target.
 	mostPayload = 256 << 10
+	mostHead    = mostPayload - chunk - frameHeader
 	// chunk is how much of a body one frame carries, and what of it goes with the head.
 	chunk = 16 << 10
 	// window is how many bytes of a body may be under way before the receiver has read them. It bounds the memory that
--- a/io/hostlink/hostlink_test.go
+++ b/io/hostlink/hostlink_test.go
@@ -445,6 +445,21 @@
 	assert.NilError(t, reply.Body.Close())
 }
 
+// Guards against a head that is too large for a frame ending the connection, with all calls on it.
+func TestHeadsThatAreTooLarge(t *testing.T) {
+	large := http.Header{"X": {strings.Repeat("x", 300<<10)}}
+	address, c := serve(t, &node{execute: func(context.Context, *mustardmast.TargetCall) (*mustardmast.TargetReply, error) {
+		return &mustardmast.TargetReply{Status: 200, Header: large, Length: 0, Body: http.NoBody}, nil
+	}})
+	_, _, _, err := c.Execute(context.Background(), address, call())
+	assert.Equal(t, fault.From(err).Kind(), fault.AnswerCut)
+	sent := call()
+	sent.Header = large
+	_, _, _, err = c.Execute(context.Background(), address, sent)
+	assert.Equal(t, fault.From(err).Kind(), fault.BadRequest)
+	assert.Equal(t, fault.From(err).Outcome(), fault.NotExecuted)
+}
+
 // Guards against replies that go to other calls, under many calls at a time.
 func TestManyCallsAtATime(t *testing.T) {
 	address, c := serve(t, &node{execute: func(_ context.Context, c *mustardmast.TargetCall) (*mustardmast.TargetReply, error) {
--- a/io/hostlink/server.go
+++ b/io/hostlink/server.go
@@ -218,7 +218,11 @@
 		kind |= flagLast
 	}
 	v.out.spend(len(first))
-	if !v.conn.write(kind, v.id, encodeReply(reply, report, nil), first) || err != nil {
+	h := encodeReply(reply, report, nil)
+	if len(h) > mostHead {
+		return v.conn.write(kindReply|flagLast, v.id, encodeReply(nil, report, fault.New(fault.AnswerCut, "the head of the answer is too large")))
+	}
+	if !v.conn.write(kind, v.id, h, first) || err != nil {
 		return false
 	}
 	return whole || v.send(reply.Body) == nil
--- a/io/targetconn/exchange.go
+++ b/io/targetconn/exchange.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"io"
+	"math"
 	"net"
 	"net/http"
 	"strconv"
@@ -147,7 +148,9 @@
 func (p *Pool) answer(cn *conn, c *mustardmast.TargetCall) (*http.Response, error) {
 	request := &http.Request{Method: c.Method}
 	for foreign := 0; foreign < mostForeign; {
+		cn.limit.N = mostHead
 		resp, err := http.ReadResponse(cn.r, request)
+		cn.limit.N = math.MaxInt64
 		if err != nil {
 			return nil, err
 		}
--- a/io/targetconn/targetconn.go
+++ b/io/targetconn/targetconn.go
@@ -11,6 +11,7 @@
 	"context"
 	"fmt"
 	"io"
+	"math"
 	"net"
 	"net/http"
 	"sync"
@@ -33,6 +34,8 @@
 	requestHead = 1 << 10  // bytes of most heads
 	copyBuffer  = 32 << 10 // bytes of one chunk of a body whose length is not known
 	readBuffer  = 4 << 10
+	// mostHead is the largest head of an answer in bytes; a link to another node carries no larger one.
+	mostHead = 192 << 10
 	// mostForeign bounds the answers to earlier requests that are passed over.
 	mostForeign = 4
 	maxIdle     = 512
@@ -41,6 +44,7 @@
 type conn struct {
 	net.Conn
 	r         *bufio.Reader
+	limit     *io.LimitedReader // below r
 	idleSince time.Time
 }
 
@@ -112,7 +116,8 @@
 	if err != nil {
 		return nil, err
 	}
-	return &conn{Conn: n, r: bufio.NewReaderSize(n, readBuffer)}, nil
+	limit := &io.LimitedReader{R: n, N: math.MaxInt64}
+	return &conn{Conn: n, r: bufio.NewReaderSize(limit, readBuffer), limit: limit}, nil
 }
 
 // Do sends a call to the lifetime of the target with this id. An error's outcome is not-executed only if the call
--- a/io/targetconn/targetconn_test.go
+++ b/io/targetconn/targetconn_test.go
@@ -403,6 +403,25 @@
 	assert.Equal(t, fault.From(err).Outcome(), fault.NotExecuted)
 }
 
+// Guards against a head without an end filling the memory of the node.
+func TestAHeadWithoutAnEnd(t *testing.T) {
+	var sent atomic.Int64
+	s := newTarget(t, func(_ int, c net.Conn, r *bufio.Reader) {
+		if _, _, err := read(r); err != nil {
+			return
+		}
+		_, err := io.WriteString(c, "HTTP/1.1 200 OK\r\n")
+		for n := 0; err == nil; n++ {
+			var m int
+			m, err = fmt.Fprintf(c, "X-%d: %s\r\n", n, strings.Repeat("x", 1000))
+			sent.Add(int64(m))
+		}
+	})
+	_, err := do(pool(s), call("a"))
+	assert.Equal(t, fault.From(err).Kind(), fault.TargetFailed)
+	assert.Assert(t, sent.Load() < 16<<20, "%d bytes", sent.Load()) // what the sockets hold
+}
+
 // Guards against a target that never answers holding a call beyond its deadline.
 func TestATargetThatNeverAnswers(t *testing.T) {
 	s := newTarget(t, func(_ int, _ net.Conn, r *bufio.Reader) {
