--- a/sidecar/bench_test.go
+++ b/sidecar/bench_test.go
@@ -7,7 +7,10 @@
 	"net"
 	"net/http"
 	"net/textproto"
+	"slices"
+	"strconv"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -52,3 +55,72 @@
 		}
 	})
 }
+
+// percentile returns a part of sorted times.
+func percentile(times []time.Duration, part float64) time.Duration {
+	return times[min(len(times)-1, int(part*float64(len(times))))]
+}
+
+// paced sends requests at a rate for some seconds, each at its time whether or not earlier ones have been answered, and
+// returns the sorted times from when each was due.
+func paced(b *testing.B, url string, perSecond int, d time.Duration) []time.Duration {
+	b.Helper()
+	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 100}}
+	defer client.CloseIdleConnections()
+	var mu sync.Mutex
+	var times []time.Duration
+	var wg sync.WaitGroup
+	gap := time.Second / time.Duration(perSecond)
+	for due, end := time.Now(), time.Now().Add(d); due.Before(end); due = due.Add(gap) {
+		time.Sleep(time.Until(due))
+		wg.Go(func() {
+			r, err := http.NewRequest(http.MethodGet, url, nil)
+			assert.Check(b, err == nil, "%v", err)
+			r.Host = "a.example"
+			r.Header.Set("Attempt-Id", fmt.Sprintf("%016x", requests.Add(1)))
+			r.Header.Set("Deadline-Ms", "2000")
+			r.Header.Set("Expected-Instance", "i-1") // nodes set their own
+			resp, err := client.Do(r)
+			if !assert.Check(b, err == nil, "%v", err) {
+				return
+			}
+			_, _ = io.Copy(io.Discard, resp.Body)
+			_ = resp.Body.Close()
+			took := time.Since(due)
+			if resp.StatusCode != http.StatusOK {
+				b.Logf("status %d", resp.StatusCode)
+				return
+			}
+			mu.Lock()
+			times = append(times, took)
+			mu.Unlock()
+		})
+	}
+	wg.Wait()
+	slices.Sort(times)
+	return times
+}
+
+// BenchmarkAddedTime is the time that two nodes add to a call, against a direct call to the target in the same run.
+func BenchmarkAddedTime(b *testing.B) {
+	c := newCluster(b)
+	entry, ledger := c.add("board", "a"), c.add("ledger", "a")
+	c.configure(3, rule("/board/", "idempotent", 2, "ledger", 2), rule("/ledger/", "non_idempotent", 0, "ledger", 2))
+	ledger.target.answer(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "done") })
+	eventually(b, 2*time.Second, func() bool {
+		_, resp, _ := entry.send("GET", "/board/", nil, nil)
+		return resp.StatusCode == http.StatusOK
+	})
+	for _, perSecond := range []int{100, 500, 1500} {
+		b.Run(strconv.Itoa(perSecond), func(b *testing.B) {
+			for range b.N {
+				direct := paced(b, "http://"+ledger.ip+":8301/x", perSecond, 4*time.Second)
+				nodes := paced(b, "http://"+entry.ip+":8304/board/x", perSecond, 4*time.Second)
+				for _, p := range []float64{0.5, 0.99} {
+					b.ReportMetric(float64(percentile(direct, p).Microseconds()), fmt.Sprintf("direct-p%g-us", 100*p))
+					b.ReportMetric(float64((percentile(nodes, p) - percentile(direct, p)).Microseconds()), fmt.Sprintf("added-p%g-us", 100*p))
+				}
+			}
+		})
+	}
+}
