--- a/io/hostlink/hostlink_test.go
+++ b/io/hostlink/hostlink_test.go
@@ -126,22 +126,29 @@
 	}
 }
 
-// Guards against an answer that breaks off between two nodes looking complete.
+// Guards against an answer that breaks off between two nodes looking complete, in the first frame and later, with each way
+// in which a body ends early: reset, or closed before its declared end or its last chunk.
 func TestAReplyThatBreaksOff(t *testing.T) {
-	address, c := serve(t, &node{execute: func(context.Context, *mustardmast.TargetCall) (*mustardmast.TargetReply, error) {
-		return &mustardmast.TargetReply{Status: 200, Header: http.Header{}, Length: -1,
-			Body: io.NopCloser(io.MultiReader(strings.NewReader("half"), broken{}))}, nil
-	}})
-	reply, _, _, err := c.Execute(context.Background(), address, call())
-	if err == nil {
-		_, err = io.ReadAll(reply.Body)
+	for _, cause := range []error{errors.New("reset"), io.ErrUnexpectedEOF} {
+		for _, size := range []int{0, 4, 100 << 10} {
+			for _, length := range []int64{-1, 200 << 10} {
+				address, c := serve(t, &node{execute: func(context.Context, *mustardmast.TargetCall) (*mustardmast.TargetReply, error) {
+					return &mustardmast.TargetReply{Status: 200, Header: http.Header{}, Length: length,
+						Body: io.NopCloser(io.MultiReader(bytes.NewReader(pattern(size)), broken{cause}))}, nil
+				}})
+				reply, _, _, err := c.Execute(context.Background(), address, call())
+				if err == nil {
+					_, err = io.ReadAll(reply.Body)
+				}
+				assert.Assert(t, err != nil, "%v after %d bytes of %d", cause, size, length)
+			}
+		}
 	}
-	assert.Assert(t, err != nil)
 }
 
-type broken struct{}
+type broken struct{ error }
 
-func (broken) Read([]byte) (int, error) { return 0, errors.New("reset") }
+func (b broken) Read([]byte) (int, error) { return 0, b.error }
 
 // Guards against a call to a host that is not there being taken for one that may have run, and the reverse.
 func TestHostsThatCannotBeReached(t *testing.T) {
@@ -297,7 +304,7 @@
 		return nil, fault.New(fault.BadRequest, "")
 	}})
 	sent := call()
-	sent.Length, sent.Body = 200<<10, io.MultiReader(bytes.NewReader(pattern(100<<10)), broken{})
+	sent.Length, sent.Body = 200<<10, io.MultiReader(bytes.NewReader(pattern(100<<10)), broken{io.ErrUnexpectedEOF})
 	_, _, _, err := c.Execute(context.Background(), address, sent)
 	assert.Assert(t, err != nil)
 	assert.Assert(t, <-read != nil)
--- a/io/hostlink/server.go
+++ b/io/hostlink/server.go
@@ -235,8 +235,13 @@
 		size = min(chunk, r.Length)
 	}
 	first = make([]byte, size+1) // one more, to meet the end
-	n, err := io.ReadFull(r.Body, first)
-	if errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) {
+	n := 0
+	for n < len(first) && err == nil {
+		var m int
+		m, err = r.Body.Read(first[n:])
+		n += m
+	}
+	if err == io.EOF { // not a body that ends early, which io.ReadFull would report alike
 		return first[:n], r.Length < 0 || int64(n) == r.Length, nil
 	}
 	return first[:n], false, err
