core/roster: a message of a host that was overtaken by a younger one changes nothing

Cause: found by reading, while looking for why a host was not known to be ready within 5 s at the start of a soak once: a host greets the others and is ready some milliseconds later, in two messages on their own goroutines. Its own word always counted, so where the greeting came second the host was passed over until a chance exchange. Change: within one start the sequence decides. Measured: the new test fails before and passes now. That this was the failure of the soak is not shown.

--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -130,8 +130,8 @@
 	return m.record, true
 }
 
-// Merge takes a record. Direct is true if it comes from the host itself, whose word always counts. It returns whether
-// the host is new or has changed.
+// Merge takes a record. Direct is true if it comes from the host itself, whose word counts even if its clock has gone
+// back since it started before. It returns whether the host is new or has changed.
 func (r *Roster) Merge(n Record, direct bool) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -150,6 +150,9 @@
 	if !direct && !n.newer(m.record) {
 		return false
 	}
+	if n.Started == m.record.Started && n.Sequence < m.record.Sequence {
+		return false // it was overtaken on the way
+	}
 	if m.record == n {
 		return false
 	}
--- a/core/roster/roster_test.go
+++ b/core/roster/roster_test.go
@@ -113,6 +113,24 @@
 	assert.Equal(t, len(r.Due(start.Add(time.Hour))), 0)
 }
 
+// Guards against two messages of a host that overtake each other, as at its start, when it greets the others and is ready
+// some milliseconds later: a node that heard them in the other order gave it no requests until a chance exchange.
+func TestAnOvertakenMessageOfAHost(t *testing.T) {
+	r := newRoster()
+	first, second := record("x", "b"), record("x", "b")
+	first.Ready, second.Sequence = false, 1
+	assert.Assert(t, r.Merge(second, true))
+	assert.Assert(t, !r.Merge(first, true))
+	_, ok := r.Choose(start, roster.Choice{Service: "watch"})
+	assert.Assert(t, ok)
+
+	restarted := record("x", "b") // its clock may have gone back meanwhile
+	restarted.Started, restarted.Ready = 0, false
+	assert.Assert(t, r.Merge(restarted, true))
+	_, ok = r.Choose(start, roster.Choice{Service: "watch"})
+	assert.Assert(t, !ok)
+}
+
 // Guards against an old record that replaces a younger one, and against one of a host that has left bringing it back.
 func TestMerge(t *testing.T) {
 	r := newRoster(record("x", "a"))
