io/hostlink: a panic on one call ends that call only

Cause: found by reading the new server: a panic on a call's goroutine would end the process, where net/http had ended the connection. A request for the node itself without a body would have caused one. Change: the caller of that call gets internal with an unknown outcome, and the stack is logged as a library message.

--- a/io/hostlink/codec.go
+++ b/io/hostlink/codec.go
@@ -27,6 +27,9 @@
 	levelScale = 1000
 )
 
+// usualFields is how many fields most headers have at the most.
+const usualFields = 32
+
 // headSize is the length in bytes of most encoded heads.
 const headSize = 512
 
@@ -101,7 +104,7 @@
 		d.fail()
 		return nil
 	}
-	h := make(http.Header, n)
+	h := make(http.Header, min(n, usualFields))
 	for ; n > 0 && d.err == nil; n-- {
 		name, count := d.text(), d.number()
 		if count < 0 || count > int64(len(d.s)) {
--- a/io/hostlink/hostlink_test.go
+++ b/io/hostlink/hostlink_test.go
@@ -467,6 +467,28 @@
 	assert.Equal(t, fault.From(err).Outcome(), fault.NotExecuted)
 }
 
+// Guards against a fault of the node on one call ending the process with all others, and against a request for the node
+// itself that is not as nodes send it.
+func TestAPanicOnOneCall(t *testing.T) {
+	address, c := serve(t, &node{execute: func(_ context.Context, c *mustardmast.TargetCall) (*mustardmast.TargetReply, error) {
+		if c.ID == "bad" {
+			panic("a fault of the node")
+		}
+		return &mustardmast.TargetReply{Status: 200, Length: 0, Body: http.NoBody}, nil
+	}})
+	bad, own := call(), call()
+	bad.ID = "bad"
+	_, _, _, err := c.Execute(context.Background(), address, bad)
+	assert.Equal(t, fault.From(err).Kind(), fault.Internal)
+	assert.Equal(t, fault.From(err).Outcome(), fault.Unknown)
+	own.Host, own.URI = "mustardmast-node", "/mustardmast/v1/exchange"
+	_, _, _, err = c.Execute(context.Background(), address, own)
+	assert.Equal(t, fault.From(err).Kind(), fault.BadRequest)
+	reply, _, _, err := c.Execute(context.Background(), address, call())
+	assert.NilError(t, err)
+	assert.NilError(t, reply.Body.Close())
+}
+
 // Guards against replies that go to other calls, under many calls at a time.
 func TestManyCallsAtATime(t *testing.T) {
 	address, c := serve(t, &node{execute: func(_ context.Context, c *mustardmast.TargetCall) (*mustardmast.TargetReply, error) {
--- a/io/hostlink/server.go
+++ b/io/hostlink/server.go
@@ -5,8 +5,10 @@
 	"context"
 	"encoding/json"
 	"io"
+	"log"
 	"net"
 	"net/http"
+	"runtime/debug"
 	"sync"
 	"syscall"
 	"time"
@@ -184,11 +186,21 @@
 	}
 	go func() {
 		defer cancel()
-		complete := s.answer(ctx, v, head)
-		v.end(complete)
+		complete := false
+		defer func() { v.end(complete) }()
+		defer recovered(v)
+		complete = s.answer(ctx, v, head)
 	}()
 }
 
+// recovered keeps a fault of this node on one call from ending all others. The call's caller is told that it may have run.
+func recovered(v *stream) {
+	if cause := recover(); cause != nil {
+		log.Printf("hostlink: panic serving a call: %v\n%s", cause, debug.Stack())
+		v.conn.write(kindReply|flagLast, v.id, encodeReply(nil, mustardmast.TargetReport{}, fault.Newf(fault.Internal, "%v", cause)))
+	}
+}
+
 // answer runs a call and sends its reply. It returns false if the reply is not whole.
 func (s *Server) answer(ctx context.Context, v *stream, head []byte) bool {
 	c, err := decodeCall(head, time.Now())
@@ -212,7 +224,7 @@
 	if c.Method == http.MethodHead {
 		reply.Length = 0 // it has no body
 	}
-	first, whole, err := start(reply)
+	first, whole, err := firstPart(reply)
 	kind := byte(kindReply)
 	if whole {
 		kind |= flagLast
@@ -228,8 +240,8 @@
 	return whole || v.send(reply.Body) == nil
 }
 
-// start reads what of a reply goes with its head. It returns whether that is all of it.
-func start(r *mustardmast.TargetReply) (first []byte, whole bool, err error) {
+// firstPart reads what of a reply goes with its head. It returns whether that is all of it.
+func firstPart(r *mustardmast.TargetReply) (first []byte, whole bool, err error) {
 	size := int64(chunk)
 	if r.Length >= 0 {
 		size = min(chunk, r.Length)
@@ -254,6 +266,9 @@
 	case documentPath:
 		raw = s.gossip.Document()
 	case exchangePath:
+		if c.Body == nil {
+			return nil, fault.New(fault.BadRequest, "exchange without a body")
+		}
 		var in wireNews
 		err := json.NewDecoder(io.LimitReader(c.Body, mostExchange)).Decode(&in)
 		if err == nil {
