core/lifetime: an announcement that comes late does not bring back a target whose leaving a fresh node has acknowledged

Nothing was known of that target, so its leaving was kept with a start of 0, and an announcement sent before it, which came 2.1 s later, was taken for a new start under the same id. Change: the start is taken from the message where it tells it, else any start before the message has left.

--- a/core/lifetime/lifetime.go
+++ b/core/lifetime/lifetime.go
@@ -94,18 +94,29 @@
 	return a.Sequence <= t.last.Sequence
 }
 
-// Leave takes the message that the lifetime with this id goes.
-func (t *Tracker) Leave(id string) {
+// Leaving is the message of a lifetime that it goes.
+type Leaving struct {
+	ID        string
+	StartedMS int64 // Unix milliseconds of its start; 0 if not told
+	Received  time.Time
+}
+
+// Leave takes the message that a lifetime goes. Announcements of it that come later are ignored, also where nothing was
+// known of it, as after a restart of the node.
+func (t *Tracker) Leave(l Leaving) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	start := int64(0)
-	if t.last.ID == id {
-		start, t.state = t.last.StartedMS, Gone
+	start := l.StartedMS
+	if t.last.ID == l.ID && (start == 0 || start >= t.last.StartedMS) {
+		start, t.state = max(start, t.last.StartedMS), Gone
+	}
+	if start == 0 {
+		start = l.Received.UnixMilli() // it has started before
 	}
 	if len(t.left) >= maxLeft {
 		clear(t.left)
 	}
-	t.left[id] = start
+	t.left[l.ID] = max(start, t.left[l.ID])
 }
 
 // Assume takes a lifetime that an answer named, if no announcement has come yet. It is in force until the first
--- a/core/lifetime/lifetime_test.go
+++ b/core/lifetime/lifetime_test.go
@@ -3,6 +3,7 @@
 import (
 	"net/netip"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -42,7 +43,7 @@
 	assert.Assert(t, l.Announce(leaving))
 	assert.Assert(t, !l.Announce(beat("a", 1000, 4)))
 	state(t, l, "a", lifetime.Draining)
-	l.Leave("a")
+	l.Leave(lifetime.Leaving{ID: "a"})
 	assert.Assert(t, !l.Announce(beat("a", 1000, 6)))
 	state(t, l, "a", lifetime.Gone)
 }
@@ -52,11 +53,39 @@
 	l := lifetime.New(address)
 	assert.Assert(t, l.Announce(beat("a", 1000, 50)))
 	assert.Assert(t, l.Announce(beat("a", 3000, 1)), "the sequence begins anew")
-	l.Leave("a")
+	l.Leave(lifetime.Leaving{ID: "a"})
 	assert.Assert(t, l.Announce(beat("a", 4000, 1)))
 	state(t, l, "a", lifetime.Ready)
 }
 
+// Guards against a target that leaves being used again where its node restarted just before: the node knew nothing of it when
+// it said that it goes, and took an announcement that came late for a new start. DRAIN was broken so at Araba.
+func TestALateAnnouncementAfterLeavingAFreshNode(t *testing.T) {
+	l := lifetime.New(address)
+	l.Leave(lifetime.Leaving{ID: "a", Received: time.UnixMilli(5000)})
+	assert.Assert(t, !l.Announce(beat("a", 1000, 9)))
+	state(t, l, "", lifetime.Absent)
+	assert.Assert(t, l.Announce(beat("a", 6000, 1)), "it has started again")
+	state(t, l, "a", lifetime.Ready)
+
+	assumed := lifetime.New(address)
+	assert.Assert(t, assumed.Assume("a", "watch", 30))
+	assumed.Leave(lifetime.Leaving{ID: "a", Received: time.UnixMilli(5000)})
+	assert.Assert(t, !assumed.Announce(beat("a", 1000, 9)))
+	state(t, assumed, "a", lifetime.Gone)
+}
+
+// Guards against the late word of an earlier start under the same id taking the present one out.
+func TestAnEarlierStartLeavesLate(t *testing.T) {
+	l := lifetime.New(address)
+	assert.Assert(t, l.Announce(beat("a", 3000, 1)))
+	l.Leave(lifetime.Leaving{ID: "a", StartedMS: 1000, Received: time.UnixMilli(5000)})
+	state(t, l, "a", lifetime.Ready)
+	assert.Assert(t, l.Announce(beat("a", 3000, 2)))
+	l.Leave(lifetime.Leaving{ID: "a", StartedMS: 3000, Received: time.UnixMilli(5000)})
+	state(t, l, "a", lifetime.Gone)
+}
+
 // Guards against another writer's announcement for an address that is not the target's.
 func TestAnotherAddress(t *testing.T) {
 	l := lifetime.New(address)
@@ -86,6 +115,6 @@
 	state(t, l, "b", lifetime.Ready)
 	assert.Assert(t, !l.Assume("c", "watch", 30))
 	gone := lifetime.New(address)
-	gone.Leave("a")
+	gone.Leave(lifetime.Leaving{ID: "a"})
 	assert.Assert(t, !gone.Assume("a", "watch", 30))
 }
--- a/io/announce/announce.go
+++ b/io/announce/announce.go
@@ -22,6 +22,8 @@
 type Codec interface {
 	// Path returns the id of the target in a path, and whether it says that the target goes.
 	Path(path string) (id string, leaving, ok bool)
+	// Started returns the start that a target's message tells, in Unix milliseconds; 0 if it does not.
+	Started(raw []byte) int64
 	// Decode decodes the body of an announcement.
 	Decode(id string, raw []byte) (lifetime.Announcement, error)
 }
@@ -52,13 +54,13 @@
 	}
 	w.Header().Set("Content-Type", "application/json")
 	before := h.tracker.Target()
-	if leaving {
-		h.tracker.Leave(id)
+	raw, err := io.ReadAll(io.LimitReader(r.Body, mostBody))
+	if leaving { // whatever its body is
+		h.tracker.Leave(lifetime.Leaving{ID: id, StartedMS: h.codec.Started(raw), Received: time.Now()})
 		h.note(before)
 		writeEmpty(w)
 		return
 	}
-	raw, err := io.ReadAll(io.LimitReader(r.Body, mostBody))
 	if err != nil {
 		h.ignore(w, id, err.Error())
 		return
--- a/io/localtarget/localtarget_test.go
+++ b/io/localtarget/localtarget_test.go
@@ -166,7 +166,7 @@
 func TestWhatIsTurnedAway(t *testing.T) {
 	for name, change := range map[string]func(*fixture, *mustardmast.TargetCall){
 		"leaving":       func(f *fixture, _ *mustardmast.TargetCall) { f.announce("i-1", 1000, true) },
-		"gone":          func(f *fixture, _ *mustardmast.TargetCall) { f.tracker.Leave("i-1") },
+		"gone":          func(f *fixture, _ *mustardmast.TargetCall) { f.tracker.Leave(lifetime.Leaving{ID: "i-1"}) },
 		"node leaves":   func(f *fixture, _ *mustardmast.TargetCall) { f.Leave() },
 		"other service": func(_ *fixture, c *mustardmast.TargetCall) { c.Service = "board" },
 		"no time":       func(_ *fixture, c *mustardmast.TargetCall) { c.Deadline = time.Now() },
