--- a/io/decisions/decisions.go
+++ b/io/decisions/decisions.go
@@ -86,10 +86,10 @@
 // byKind holds a counter for each kind of error.
 type byKind map[fault.Kind]*metrics.Counter
 
-func newByKind(set *metrics.Set, name string) byKind {
-	k := byKind{fault.None: set.NewCounter(fmt.Sprintf("%s{error=%q}", name, fault.None))}
+func newByKind(counter func(fault.Kind) *metrics.Counter) byKind {
+	k := byKind{fault.None: counter(fault.None)}
 	for _, e := range fault.Kinds() {
-		k[e] = set.NewCounter(fmt.Sprintf("%s{error=%q}", name, e))
+		k[e] = counter(e)
 	}
 	return k
 }
@@ -110,8 +110,15 @@
 		wait:    set.NewPrometheusHistogramExt("mustardmast_slot_wait_seconds", telemetry.LatencyBounds),
 		run:     set.NewPrometheusHistogramExt("mustardmast_target_duration_seconds", telemetry.LatencyBounds),
 		limited: set.NewCounter("mustardmast_log_lines_limited_total"),
-		offers:  newByKind(set, "mustardmast_offers_total"), turnedAway: newByKind(set, "mustardmast_turned_away_total"),
-		failures: newByKind(set, "mustardmast_target_failures_total"),
+		offers: newByKind(func(k fault.Kind) *metrics.Counter {
+			return set.NewCounter(fmt.Sprintf("mustardmast_offers_total{error=%q}", k))
+		}),
+		turnedAway: newByKind(func(k fault.Kind) *metrics.Counter {
+			return set.NewCounter(fmt.Sprintf("mustardmast_turned_away_total{error=%q}", k))
+		}),
+		failures: newByKind(func(k fault.Kind) *metrics.Counter {
+			return set.NewCounter(fmt.Sprintf("mustardmast_target_failures_total{error=%q}", k))
+		}),
 	}
 }
 
