--- a/core/lifetime/lifetime_test.go
+++ b/core/lifetime/lifetime_test.go
@@ -59,7 +59,7 @@
 }
 
 // Guards against a target that leaves being used again where its node restarted just before: the node knew nothing of it when
-// it said that it goes, and took an announcement that came late for a new start. DRAIN was broken so at Araba.
+// it said that it goes, and took an announcement that came late for a new start. Seen on a day of the Araba hunt.
 func TestALateAnnouncementAfterLeavingAFreshNode(t *testing.T) {
 	l := lifetime.New(address)
 	l.Leave(lifetime.Leaving{ID: "a", Received: time.UnixMilli(5000)})
