io/cli: the stand-in of the platform in the tests has no data race

The stand-in's handler read and wrote a plain flag, and the client's second call ran while the first handler still went on. Change: the flag is taken atomically; what the test checks is as it was.

--- a/io/cli/cli_test.go
+++ b/io/cli/cli_test.go
@@ -9,6 +9,7 @@
 	"net/http/httptest"
 	"os"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -29,7 +30,7 @@
 type world struct {
 	t       *testing.T
 	stub    *stub.Server
-	crash   bool // the platform goes down right after it has written the configuration
+	crash   atomic.Bool // the platform goes down right after it has written the configuration
 	url     string
 	names   *strings.Replacer
 	pairs   []string
@@ -47,8 +48,7 @@
 func newWorld(t *testing.T) *world {
 	w := &world{t: t, stub: stub.New(), nodes: map[string]string{}}
 	srv := httptest.NewServer(http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
-		if w.crash && r.Method == http.MethodPut && strings.HasSuffix(r.URL.Path, "/config") {
-			w.crash = false
+		if r.Method == http.MethodPut && strings.HasSuffix(r.URL.Path, "/config") && w.crash.CompareAndSwap(true, false) {
 			w.stub.ServeHTTP(httptest.NewRecorder(), r)
 			w.stub.SetFaults(stub.Faults{Down: true})
 			panic(http.ErrAbortHandler)
@@ -183,7 +183,7 @@
 	assert.Equal(t, w.apply("ada", "two.json", 1, "more for maan-hall", "--no-fleet"), cli.Failed)
 	w.note("the platform goes down after a write and before its response")
 	w.stub.SetFaults(stub.Faults{})
-	w.crash = true
+	w.crash.Store(true)
 	assert.Equal(t, w.apply("ada", "two.json", 1, "more for maan-hall", "--no-fleet", "--timeout", "1s"), cli.Unknown)
 	w.note("the platform is back")
 	w.stub.SetFaults(stub.Faults{})
