--- a/io/hostlink/server.go
+++ b/io/hostlink/server.go
@@ -6,9 +6,11 @@
 	"encoding/json"
 	"io"
 	"log"
+	"maps"
 	"net"
 	"net/http"
 	"runtime/debug"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -128,23 +130,23 @@
 	}
 }
 
-// Close ends the listener and all connections.
+// Close ends the listener and then all connections, so that a caller whose connection ends finds no listener any more.
 func (s *Server) Close() error {
 	s.mu.Lock()
 	s.closed = true
 	l := s.listener
-	var conns []*conn
-	for c := range s.conns {
-		conns = append(conns, c)
+	s.mu.Unlock()
+	var err error
+	if l != nil {
+		err = l.Close()
 	}
+	s.mu.Lock()
+	conns := slices.Collect(maps.Keys(s.conns))
 	s.mu.Unlock()
 	for _, c := range conns {
 		c.fail(errClosed)
 	}
-	if l == nil {
-		return nil
-	}
-	return l.Close()
+	return err
 }
 
 func (s *Server) serve(n net.Conn) {
