io/fleet: log watches of the configuration that end without a change

The logs of the CONFIG incident could not tell its hypotheses apart: a node logged what it installed, and a store that was lost or back, but not how a watch ended. MM407 config-watch-ended has the revision from which the watch started, the one that the next starts from, whether the history was lost, the duration, and the error. A watch lasts seconds and a failed one is followed by a delay, so there are few lines.

--- a/io/eventlog/eventlog.go
+++ b/io/eventlog/eventlog.go
@@ -45,6 +45,7 @@
 	ConfigNotPulled        Event = 404
 	SeedSilent             Event = 405
 	ConfigObjectUnreadable Event = 406
+	ConfigWatchEnded       Event = 407
 	RequestQuarantined     Event = 500
 	QuarantineCleared      Event = 501
 	HandlerPanicked        Event = 502
@@ -97,6 +98,7 @@
 	ConfigNotPulled:        {zapcore.DebugLevel, "config-not-pulled", "a peer did not give the configuration that it announced; another one is asked"},
 	SeedSilent:             {zapcore.DebugLevel, "seed-silent", "a seed peer does not answer"},
 	ConfigObjectUnreadable: {zapcore.ErrorLevel, "config-object-unreadable", "the platform's configuration object cannot be read; the one in force stays"},
+	ConfigWatchEnded:       {zapcore.InfoLevel, "config-watch-ended", "a watch of the configuration in the platform ended without a change"},
 	GossipNotSent:          {zapcore.ErrorLevel, "gossip-not-sent", "a datagram to another node could not be sent"},
 	RequestQuarantined:     {zapcore.WarnLevel, "request-quarantined", "requests with this fingerprint crashed targets and are rejected"},
 	QuarantineCleared:      {zapcore.InfoLevel, "quarantine-cleared", "an operator cleared a fingerprint"},
--- a/io/fleet/configuration.go
+++ b/io/fleet/configuration.go
@@ -64,6 +64,7 @@
 	for f.ctx.Err() == nil {
 		var d routing.Document
 		var err error
+		from, began := revision, f.timers.Now()
 		if revision == 0 {
 			ctx, cancel := context.WithTimeout(f.ctx, callTimeout)
 			d, err = f.store.Configuration(ctx)
@@ -72,6 +73,10 @@
 			d, err = f.store.WatchConfiguration(f.ctx, revision, f.watchTimeout())
 		}
 		f.recordStoreStatus(err)
+		if from != 0 && d.Raw == nil {
+			f.log.Write(eventlog.ConfigWatchEnded, zap.Uint64("from", from), zap.Uint64("revision", d.Revision), zap.Bool("history-lost", d.HistoryLost),
+				zap.Duration("took", f.timers.Now().Sub(began)), zap.Error(err))
+		}
 		switch {
 		case err != nil && d.Raw != nil:
 			f.log.Write(eventlog.ConfigObjectUnreadable, zap.Error(err))
