--- a/sidecar/sidecar_test.go
+++ b/sidecar/sidecar_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"os"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -135,6 +136,31 @@
 	})
 }
 
+// Guards against a change that no node of a large fleet has in force in time because the store told no watch of it.
+func TestChangeUnheardByWatches(t *testing.T) {
+	const hosts, within = 24, 4 * time.Second
+	c := newCluster(t)
+	for n := range hosts {
+		c.add([]string{"board", "ledger"}[n%2], string(rune('a'+n%3)))
+	}
+	inForce := func(service string) bool {
+		for _, h := range c.hosts {
+			_, _, got := h.send("GET", "/board/", nil, nil)
+			if !slices.ContainsFunc(c.hosts, func(o *host) bool { return o.service == service && got == "from "+o.ip }) {
+				return false
+			}
+		}
+		return true
+	}
+	c.configure(8, rule("/board/", "idempotent", 2, "ledger", 2)) // all watches start again at this moment
+	eventually(t, within, func() bool { return inForce("ledger") })
+	c.store.PauseWatches()
+	c.configure(9, rule("/board/", "idempotent", 2, "board", 2))
+	time.Sleep(500 * time.Millisecond)
+	c.store.ForgetHistory()
+	eventually(t, within, func() bool { return inForce("board") })
+}
+
 // Guards against a node that stops serving while the store is unavailable, and against one that, started meanwhile,
 // does not get the configuration and the hosts from another node.
 func TestServingWithoutStore(t *testing.T) {
