io/fleet: spread the watches of a fleet, pass on what they have missed

Cause: a change answers the watches of all nodes at once, so they start again at the same moment, with waits of 0.75 to 1.25 times a mean that grows with the fleet (22 s for 90 hosts). For a quarter of a minute no watch ended. When the store dropped the change from its history and left the watches waiting, no node asked again, and so none could tell others. The class: a long poll whose silence is taken as no change, and fallbacks of all nodes that depend on the same moment. Silent connections to the store are of the same class.

Change: core/watch draws exponential waits, so that at any time after any common start the watches of the fleet end at a constant rate of one in 250 ms; the mean wait and the number of calls stay. A node that learns of a configuration other than by a watch tells three random nodes of its version, so that all have it after a few round trips and not only with the gossip of each second.

The test now asks each node for its version instead of sending requests whose replies carry versions between nodes, so it is stricter: a request could spread the change by itself.

--- a/io/fleet/configuration.go
+++ b/io/fleet/configuration.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"time"
 
 	"go.uber.org/zap"
 
 	"mustardmast/core/roster"
 	"mustardmast/core/routing"
+	"mustardmast/core/watch"
 	"mustardmast/io/eventlog"
 )
 
@@ -43,8 +45,9 @@
 	return nil
 }
 
-// install replaces the installed configuration if t has a higher version.
-func (f *Fleet) install(t *routing.Table, raw []byte, from string) {
+// install replaces the installed configuration if t has a higher version. If that was not learned by a watch, the
+// watches of other nodes may have missed it too, so it is passed on.
+func (f *Fleet) install(t *routing.Table, raw []byte, s source) {
 	next := &document{table: t, raw: raw}
 	for {
 		now := f.document.Load()
@@ -52,14 +55,33 @@
 			return
 		}
 		if f.document.CompareAndSwap(now, next) {
-			f.log.Write(eventlog.ConfigInstalled, zap.Uint64("version", t.Version()), zap.String("from", from))
+			f.log.Write(eventlog.ConfigInstalled, zap.Uint64("version", t.Version()), zap.String("from", s.name))
+			if now != nil && !s.watch {
+				f.passOn()
+			}
 			return
 		}
 	}
 }
 
+// source is where a configuration comes from.
+type source struct {
+	name  string
+	watch bool // a watch on the store, which tells the other nodes at the same time
+}
+
+// passOn tells passOnFanout random nodes which version of the configuration is installed.
+func (f *Fleet) passOn() {
+	others := f.others()
+	rand.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] })
+	for _, r := range others[:min(passOnFanout, len(others))] {
+		go f.probe(r)
+	}
+}
+
 func (f *Fleet) followConfiguration() {
 	var revision uint64
+	waits := watch.New(rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
 	delay := minRetryDelay
 	for f.ctx.Err() == nil {
 		var d routing.Document
@@ -70,7 +92,7 @@
 			d, err = f.store.Configuration(ctx)
 			cancel()
 		} else {
-			d, err = f.store.WatchConfiguration(f.ctx, revision, f.watchTimeout())
+			d, err = f.store.WatchConfiguration(f.ctx, revision, waits.Next(f.roster.Size()))
 		}
 		f.recordStoreStatus(err)
 		if from != 0 && d.Raw == nil {
@@ -93,7 +115,7 @@
 		}
 		delay = minRetryDelay
 		if d.Table != nil {
-			f.install(d.Table, d.Raw, "platform")
+			f.install(d.Table, d.Raw, source{name: "platform", watch: from != 0})
 		}
 		if f.Table() == nil {
 			f.sleep(minRetryDelay)
@@ -102,12 +124,9 @@
 }
 
 const (
-	// watchTimePerHost is the wait time of a watch for each host of the fleet. A watch on a dead connection is noticed
-	// only when its wait time is over. With many hosts the watch of some node ends soon, and the others get a change from
-	// it.
-	watchTimePerHost = 250 * time.Millisecond
-	minWatchTime     = 2 * time.Second
-	maxWatchTime     = 30 * time.Second // the maximum that the store allows
+	// passOnFanout is the number of nodes that a node tells of a configuration that watches have missed. Each of them
+	// does the same, so all know of it after a few round trips.
+	passOnFanout = 3
 	// callTimeout limits a call to the store other than a watch. A slow store takes some hundred milliseconds.
 	callTimeout = 1500 * time.Millisecond
 	// minRetryDelay and maxRetryDelay bound the delay after a failed call to the store.
@@ -153,5 +172,5 @@
 		f.log.Write(eventlog.ConfigRejected, zap.String("from", r.Host), zap.Error(err))
 		return
 	}
-	f.install(t, raw, r.Host)
+	f.install(t, raw, source{name: r.Host})
 }
--- a/io/fleet/fleet.go
+++ b/io/fleet/fleet.go
@@ -76,13 +76,6 @@
 // Stop ends what Start has started and cancels calls in progress.
 func (f *Fleet) Stop() { f.stop() }
 
-// watchTimeout returns the wait time of the next watch. It is random so that the watches of the nodes do not end at the
-// same time.
-func (f *Fleet) watchTimeout() time.Duration {
-	wait := min(maxWatchTime, max(minWatchTime, time.Duration(f.roster.Size())*watchTimePerHost))
-	return time.Duration((0.75 + 0.5*rand.Float64()) * float64(wait))
-}
-
 func (f *Fleet) recordStoreStatus(err error) {
 	if up := err == nil; f.storeUp.Swap(up) != up {
 		if up {
@@ -175,13 +168,10 @@
 // is done when the last call has returned.
 func (f *Fleet) broadcast(send func(roster.Record)) *sync.WaitGroup {
 	hosts := make(chan roster.Record)
-	self := f.roster.Self().Host
 	go func() {
 		defer close(hosts)
-		for _, r := range f.roster.Records() {
-			if r.Host != self {
-				hosts <- r
-			}
+		for _, r := range f.others() {
+			hosts <- r
 		}
 	}()
 	var wg sync.WaitGroup
@@ -202,13 +192,17 @@
 
 // syncWithRandomHost synchronizes the known hosts with those of a randomly chosen node.
 func (f *Fleet) syncWithRandomHost() {
-	self := f.roster.Self().Host
-	others := slices.DeleteFunc(f.roster.Records(), func(r roster.Record) bool { return r.Host == self })
-	if len(others) > 0 {
+	if others := f.others(); len(others) > 0 {
 		f.syncWith(others[rand.IntN(len(others))])
 	}
 }
 
+// others returns the records of all hosts except this one.
+func (f *Fleet) others() []roster.Record {
+	self := f.roster.Self().Host
+	return slices.DeleteFunc(f.roster.Records(), func(r roster.Record) bool { return r.Host == self })
+}
+
 // exchange sends a message to a host and applies the reply. It skips a message with a digest while another exchange
 // with the host is in progress. If the host does not reply, it is marked as down.
 func (f *Fleet) exchange(r roster.Record, msg hostlink.GossipMessage) {
--- a/sidecar/sidecar_test.go
+++ b/sidecar/sidecar_test.go
@@ -15,6 +15,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"mustardmast/io/hostlink"
 	"mustardmast/sidecar"
 )
 
@@ -143,22 +144,21 @@
 	for n := range hosts {
 		c.add([]string{"board", "ledger"}[n%2], string(rune('a'+n%3)))
 	}
-	inForce := func(service string) bool {
-		for _, h := range c.hosts {
-			_, _, got := h.send("GET", "/board/", nil, nil)
-			if !slices.ContainsFunc(c.hosts, func(o *host) bool { return o.service == service && got == "from "+o.ip }) {
-				return false
-			}
-		}
-		return true
+	link := hostlink.NewClient(net.IPv4(127, 0, 0, 1))
+	defer link.Close()
+	inForce := func(version uint64) bool { // without requests, whose replies would tell of the version
+		return !slices.ContainsFunc(c.hosts, func(h *host) bool {
+			reply, err := link.Exchange(context.Background(), h.ip+":7620", hostlink.GossipMessage{})
+			return err != nil || reply.Version != version
+		})
 	}
 	c.configure(8, rule("/board/", "idempotent", 2, "ledger", 2)) // all watches start again at this moment
-	eventually(t, within, func() bool { return inForce("ledger") })
+	eventually(t, within, func() bool { return inForce(8) })
 	c.store.PauseWatches()
 	c.configure(9, rule("/board/", "idempotent", 2, "board", 2))
 	time.Sleep(500 * time.Millisecond)
 	c.store.ForgetHistory()
-	eventually(t, within, func() bool { return inForce("board") })
+	eventually(t, within, func() bool { return inForce(9) })
 }
 
 // Guards against a node that stops serving while the store is unavailable, and against one that, started meanwhile,
