core/pace, core/admission: keep the limit that a target names (LIMIT)

Nothing in the node read Server-Limit.

Cause: state of a target that reaches the node in its responses, which the protocol did not have when the code was written.

Change: the node beside the target, through which all its requests go, takes the limit from each response and refusal of the lifetime that the call was sent to. core/pace is a token bucket of that rate; requests beyond it wait in the admission queue, by its order, or are rejected by their estimated wait. Reports and levels count the limit as a lower number of slots, so that other nodes choose other targets or shed. A node or a target that has just started uses eight slots until the first response, since a limit named before is not known then. A restart under the same id now counts as another lifetime there too.

--- a/core/admission/admission.go
+++ b/core/admission/admission.go
@@ -10,6 +10,9 @@
 // requests of its kind that the entry node admitted, so the demand before shedding is known, and the level is computed
 // from it without feedback. A feedback controller on the target's utilization would react to levels that it reported
 // some hundred milliseconds earlier, and would alternate between shedding far too much and too little.
+//
+// A target may name a limit on the rate of its requests. Requests beyond it wait in the same queue, and the limit counts
+// as a lower number of slots in reports and levels, so that entry nodes choose other targets or shed.
 package admission
 
 import (
@@ -17,6 +20,8 @@
 	"math"
 	"sync"
 	"time"
+
+	"mustardmast/core/pace"
 )
 
 const (
@@ -37,6 +42,9 @@
 	// average of the demand, from which the level is computed.
 	levelPeriod  = 100 * time.Millisecond
 	demandWeight = 0.35
+	// firstSlots is the number of slots that are used until a new lifetime of the target, or a target that a new node has
+	// found, has responded for the first time. A limit that it has named before is not known until then.
+	firstSlots = 8
 	// numRanks is the number of ranks with a demand of their own; requests of higher rank count for the highest.
 	numRanks = 4
 )
@@ -85,6 +93,8 @@
 	mu          sync.Mutex
 	slots       int
 	running     int
+	limiter     pace.Limiter
+	unknown     bool // the target has not responded yet
 	queue       queue
 	sequence    uint64
 	serviceTime time.Duration
@@ -111,6 +121,24 @@
 	c.startNext(now)
 }
 
+// TargetReplaced forgets the limit on the rate of the previous target. Until the new one responds, firstSlots are used.
+func (c *Controller) TargetReplaced() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.limiter, c.unknown = pace.Limiter{}, true
+}
+
+// TargetResponded records a response of the target. If named, it limits the rate of requests to limit per second;
+// otherwise it named no limit. TargetResponded reports whether the limit has changed.
+func (c *Controller) TargetResponded(now time.Time, limit float64, named bool) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.unknown = false
+	changed := c.limiter.Observe(now, limit, named)
+	c.startNext(now)
+	return changed
+}
+
 // TargetRestarted raises the estimated service time, because a target is slow at the start of a new lifetime.
 func (c *Controller) TargetRestarted() {
 	c.mu.Lock()
@@ -130,12 +158,13 @@
 	}
 	c.sequence++
 	t = &Ticket{request: r, sequence: c.sequence, index: -1, arrivedAt: now}
-	if c.running < c.slots {
+	c.startNext(now)
+	if c.running < c.usableSlots() && c.limiter.Take(now) {
 		c.running++
 		t.startedAt = now
 		return t, 0
 	}
-	wait = c.wait(t)
+	wait = c.wait(now, t)
 	if wait > r.MaxWait {
 		return nil, wait
 	}
@@ -144,15 +173,36 @@
 	return t, wait
 }
 
+// usableSlots returns the number of requests that may run concurrently.
+func (c *Controller) usableSlots() int {
+	if c.unknown {
+		return min(c.slots, firstSlots)
+	}
+	return c.slots
+}
+
+// rateSlots returns the number of slots that are in use at the limit on the rate of requests, or all slots if these are
+// fewer.
+func (c *Controller) rateSlots(serviceTime time.Duration) float64 {
+	if limit, limited := c.limiter.Limit(); limited {
+		return min(float64(c.slots), limit*serviceTime.Seconds())
+	}
+	return float64(c.slots)
+}
+
 // wait estimates how long a request waits for those that precede it in the queue.
-func (c *Controller) wait(t *Ticket) time.Duration {
+func (c *Controller) wait(now time.Time, t *Ticket) time.Duration {
 	ahead := 1
 	for _, o := range c.queue {
 		if o.precedes(t) {
 			ahead++
 		}
 	}
-	return time.Duration(float64(ahead) * float64(c.serviceTime) / float64(c.slots))
+	paced := c.limiter.Wait(now, ahead)
+	if c.running < c.usableSlots() {
+		return paced
+	}
+	return max(paced, time.Duration(float64(ahead)*float64(c.serviceTime)/float64(c.usableSlots())))
 }
 
 // Cancel removes a waiting request. It returns false if the request has been started in the meantime.
@@ -181,9 +231,21 @@
 	c.startNext(now)
 }
 
-// startNext starts waiting requests while there are free slots.
+// StartNext starts the waiting requests that may run by now. If some wait only because of the limit on the rate, it
+// returns true and how long it takes until the next one may run. The caller must call StartNext again then.
+func (c *Controller) StartNext(now time.Time) (time.Duration, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.startNext(now)
+	if c.running >= c.usableSlots() || len(c.queue) == 0 {
+		return 0, false
+	}
+	return c.limiter.Wait(now, 1), true
+}
+
+// startNext starts waiting requests while there are free slots and the limit on the rate allows.
 func (c *Controller) startNext(now time.Time) {
-	for c.running < c.slots && len(c.queue) > 0 {
+	for c.running < c.usableSlots() && len(c.queue) > 0 && c.limiter.Take(now) {
 		t := heap.Pop(&c.queue).(*Ticket)
 		t.startedAt = now
 		c.running++
@@ -208,16 +270,21 @@
 	c.level = c.overloadLevel()
 }
 
-// overloadLevel returns the level at which the demand that remains after shedding uses goalUtilization of the slots.
+// overloadLevel returns the level at which the demand that remains after shedding uses goalUtilization of the slots, or
+// of those that the limit on the rate leaves.
 func (c *Controller) overloadLevel() float64 {
 	var needed [numRanks]float64 // slots that the demand of each rank needs
-	total := 0.0
+	total, demand := 0.0, 0.0
 	for k, cl := range c.classes {
 		used := cl.demand * cl.serviceTime.Seconds()
 		needed[k/2] += used
 		total += used
+		demand += cl.demand
+	}
+	if demand == 0 {
+		return 0
 	}
-	excess := total - goalUtilization*float64(c.slots)
+	excess := total - goalUtilization*c.rateSlots(time.Duration(total/demand*float64(time.Second)))
 	level := 0.0
 	for r := 0; r < numRanks && excess > 0; r++ {
 		if needed[r] >= excess {
@@ -241,7 +308,8 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.updateLevel(now)
-	return Report{Limit: c.slots, Running: c.running, Waiting: len(c.queue), ServiceTime: c.serviceTime, Level: c.level}
+	limit := int(math.Ceil(min(float64(c.usableSlots()), c.rateSlots(c.serviceTime))))
+	return Report{Limit: limit, Running: c.running, Waiting: len(c.queue), ServiceTime: c.serviceTime, Level: c.level}
 }
 
 // Waited returns how long the request waited before it was started.
--- a/core/lifetime/lifetime.go
+++ b/core/lifetime/lifetime.go
@@ -41,6 +41,7 @@
 	ID, Service string
 	Slots       int
 	State       State
+	StartedMS   int64 // Unix milliseconds of the start; 0 if not announced
 }
 
 // Tracker holds the current lifetime. Its methods may be called concurrently.
@@ -151,5 +152,5 @@
 func (t *Tracker) Target() Target {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return Target{ID: t.latest.ID, Service: t.latest.Service, Slots: t.latest.Slots, State: t.state}
+	return Target{ID: t.latest.ID, Service: t.latest.Service, Slots: t.latest.Slots, State: t.state, StartedMS: t.latest.StartedMS}
 }
--- a/headers.go
+++ b/headers.go
@@ -18,3 +18,9 @@
 	Running, Waiting, Slots int
 	Slowdown                float64 // current duration of requests divided by their usual duration
 }
+
+// TargetNotice is what a target states about itself in a response to a request.
+type TargetNotice struct {
+	Limited   bool    // the target limits the rate of its requests
+	RateLimit float64 // requests per second from all nodes together, if Limited
+}
--- a/io/announce/announce.go
+++ b/io/announce/announce.go
@@ -86,13 +86,15 @@
 			zap.Int64("sequence", a.Sequence), zap.Int64("started-ms", a.StartedMS))
 		return
 	}
-	if before.ID != a.ID {
+	replaced := before.ID != a.ID || before.StartedMS != 0 && before.StartedMS != a.StartedMS // or started again
+	if replaced {
 		h.pool.CloseIdle()
+		h.controller.TargetReplaced()
 		if a.WarmUp > 0 {
 			h.controller.TargetRestarted()
 		}
 	}
-	if before.Slots != a.Slots || before.ID != a.ID {
+	if before.Slots != a.Slots || replaced {
 		h.controller.SetSlots(now, a.Slots)
 	}
 	h.reportChange(before)
--- a/io/decisions/decisions.go
+++ b/io/decisions/decisions.go
@@ -7,9 +7,11 @@
 import (
 	"bytes"
 	"fmt"
+	"math"
 	"net/http"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -57,7 +59,9 @@
 	hostDown    func(host string, err error)
 	targetLost  func(id string, err error)
 
-	answered, failed, rejected, offered, served, callsRejected, ended, panicked, library lineLimiter
+	answered, failed, rejected, offered, served, callsRejected, ended, panicked, library, notices lineLimiter
+
+	rateLimit atomic.Uint64 // bits of the float64
 
 	latency, wait, run               *metrics.PrometheusHistogram
 	linesLimited                     *metrics.Counter
@@ -100,7 +104,7 @@
 // hostDown when a host can no longer be reached, and targetLost when the target on this host accepts no connections or
 // has been replaced.
 func New(l *eventlog.Log, set *metrics.Set, newerConfig func(string, uint64), hostDown, targetLost func(string, error)) *Recorder {
-	return &Recorder{
+	r := &Recorder{
 		log: l, set: set, newerConfig: newerConfig, hostDown: hostDown, targetLost: targetLost,
 		latency:      set.NewPrometheusHistogramExt("mustardmast_request_duration_seconds", telemetry.LatencyBuckets),
 		wait:         set.NewPrometheusHistogramExt("mustardmast_slot_wait_seconds", telemetry.LatencyBuckets),
@@ -116,6 +120,8 @@
 			return set.NewCounter(fmt.Sprintf("mustardmast_target_failures_total{error=%q}", k))
 		}),
 	}
+	set.NewGauge("mustardmast_target_rate_limit", func() float64 { return math.Float64frombits(r.rateLimit.Load()) })
+	return r
 }
 
 // allowLine reports whether a line may be written, and counts the lines that may not. Callers create the fields of a
@@ -221,3 +227,18 @@
 
 // TargetLost implements localtarget.Observer.
 func (r *Recorder) TargetLost(id string, err error) { r.targetLost(id, err) }
+
+// RateLimitChanged implements localtarget.Observer.
+func (r *Recorder) RateLimitChanged(id string, limit float64) {
+	r.rateLimit.Store(math.Float64bits(limit))
+	if r.allowLine(&r.notices, maxServedLinesPerSecond) {
+		r.log.Write(eventlog.TargetLimited, zap.String("target", id), zap.Float64("limit", limit))
+	}
+}
+
+// NoticeMalformed implements localtarget.Observer.
+func (r *Recorder) NoticeMalformed(id string, err error) {
+	if r.allowLine(&r.notices, maxServedLinesPerSecond) {
+		r.log.Write(eventlog.TargetNoticeMalformed, zap.String("target", id), zap.Error(err))
+	}
+}
--- a/io/eventlog/eventlog.go
+++ b/io/eventlog/eventlog.go
@@ -31,6 +31,8 @@
 	TargetCrashed          Event = 203
 	AnnouncementIgnored    Event = 204
 	TargetLost             Event = 205
+	TargetLimited          Event = 206
+	TargetNoticeMalformed  Event = 207
 	MemberChanged          Event = 300
 	GossipNotSent          Event = 301
 	HostUp                 Event = 302
@@ -85,6 +87,8 @@
 	TargetCrashed:          {zapcore.WarnLevel, "target-crashed", "the target broke the connections of all calls in flight"},
 	AnnouncementIgnored:    {zapcore.WarnLevel, "announcement-ignored", "an announcement cannot be read, is for another address, or is superseded by a newer one"},
 	TargetLost:             {zapcore.WarnLevel, "target-lost", "the target accepts no connections or another one has its address; its next announcement brings it back"},
+	TargetLimited:          {zapcore.WarnLevel, "target-limited", "the target's responses name another limit on the rate of its requests; 0 stands for no limit"},
+	TargetNoticeMalformed:  {zapcore.WarnLevel, "target-notice-malformed", "what a response of the target states about it cannot be decoded; that part is ignored"},
 	MemberChanged:          {zapcore.InfoLevel, "member-changed", "a member's state changed in this node's view"},
 	HostUp:                 {zapcore.InfoLevel, "host-up", "the node of a host answers again"},
 	HostDown:               {zapcore.WarnLevel, "host-down", "the node of a host cannot be reached; it gets calls only if no other one can"},
--- a/io/localtarget/localtarget.go
+++ b/io/localtarget/localtarget.go
@@ -8,6 +8,7 @@
 import (
 	"context"
 	"io"
+	"math"
 	"net/http"
 	"strings"
 	"sync"
@@ -41,6 +42,11 @@
 	CallCompleted(c *mustardmast.TargetCall, waited, took time.Duration, err error, t lifetime.Target)
 	// TargetLost is called when a lifetime no longer accepts connections or has been replaced.
 	TargetLost(id string, err error)
+	// RateLimitChanged is called when responses of a lifetime begin or cease to name a limit on the rate of its requests,
+	// or name another one. Limit is in requests per second, and 0 for no limit.
+	RateLimitChanged(id string, limit float64)
+	// NoticeMalformed is called when what a response states about its lifetime cannot be decoded.
+	NoticeMalformed(id string, err error)
 }
 
 // Executor runs calls on the target of this host. Its methods may be called concurrently.
@@ -49,9 +55,11 @@
 	controller *admission.Controller
 	pool       *targetconn.Pool
 	observer   Observer
+	notice     func(http.Header) (mustardmast.TargetNotice, error)
 	version    func() uint64
 	draining   atomic.Bool
 	active     atomic.Int64
+	pacer      *time.Timer // starts waiting calls when the limit on the rate allows
 
 	mu            sync.Mutex
 	started       map[string]struct{} // ids of non-repeatable calls that were started
@@ -91,10 +99,32 @@
 
 const levelScale = 1000
 
-// New returns an executor for the target that the tracker follows. Version returns the version of the active
-// configuration.
-func New(t *lifetime.Tracker, c *admission.Controller, p *targetconn.Pool, o Observer, version func() uint64) *Executor {
-	return &Executor{tracker: t, controller: c, pool: p, observer: o, version: version, started: map[string]struct{}{}, runs: map[string]*Run{}}
+// Options are the parameters and dependencies of an Executor.
+type Options struct {
+	Tracker    *lifetime.Tracker // of the target on which calls are executed
+	Controller *admission.Controller
+	Pool       *targetconn.Pool
+	Observer   Observer
+	Notice     func(http.Header) (mustardmast.TargetNotice, error) // decodes what a response states about the target
+	Version    func() uint64                                       // returns the version of the active configuration
+}
+
+// New returns an executor.
+func New(o Options) *Executor {
+	e := &Executor{
+		tracker: o.Tracker, controller: o.Controller, pool: o.Pool, observer: o.Observer, notice: o.Notice, version: o.Version,
+		started: map[string]struct{}{}, runs: map[string]*Run{},
+	}
+	e.pacer = time.AfterFunc(math.MaxInt64, e.startWaiting) // reset when a call waits for the limit on the rate
+	return e
+}
+
+// startWaiting starts the waiting calls that may start by now, and sets the timer for the next one if only the limit on
+// the rate of calls holds it.
+func (e *Executor) startWaiting() {
+	if d, limited := e.controller.StartNext(time.Now()); limited {
+		e.pacer.Reset(d)
+	}
 }
 
 // Drain makes the executor reject all further calls.
@@ -159,12 +189,15 @@
 		// at most until 1 s after its deadline.
 		runCtx, cancel = context.WithDeadline(context.WithoutCancel(ctx), c.Deadline.Add(time.Second))
 	}
-	reply, err := e.pool.Do(runCtx, c, t.ID, c.Deadline)
+	reply, header, err := e.pool.Do(runCtx, c, t.ID, c.Deadline)
+	if header != nil {
+		e.handleNotice(t, header)
+	}
 	if err != nil {
 		cancel()
 		e.setRun(c.ID, nil)
 		e.targetFailed(t, err)
-		e.controller.Done(time.Now(), ticket, false)
+		e.done(ticket, false)
 		e.observer.CallCompleted(c, ticket.Waited(), time.Since(began), err, t)
 		return nil, err
 	}
@@ -172,7 +205,7 @@
 	reply.Body = &replyBody{ReadCloser: reply.Body, onClose: func(err error) {
 		cancel()
 		e.setRun(c.ID, nil)
-		e.controller.Done(time.Now(), ticket, succeeded)
+		e.done(ticket, succeeded)
 		e.active.Add(-1)
 		e.observer.CallCompleted(c, ticket.Waited(), time.Since(began), err, t)
 	}}
@@ -204,17 +237,40 @@
 		return nil, fault.Newf(fault.QueueFull, "estimated wait %v of at most %v", wait, c.MaxWait).WithRetryAfter(wait)
 	}
 	if wait > 0 {
+		e.startWaiting()
 		if err := e.waitForSlot(ctx, c, ticket); err != nil {
 			return nil, err
 		}
 	}
 	if err := e.checkStart(ctx, c, t); err != nil {
-		e.controller.Done(time.Now(), ticket, false)
+		e.done(ticket, false)
 		return nil, err
 	}
 	return ticket, nil
 }
 
+// done releases the slot of a call.
+func (e *Executor) done(t *admission.Ticket, completed bool) {
+	e.controller.Done(time.Now(), t, completed)
+	e.startWaiting()
+}
+
+// handleNotice applies what a response of a lifetime states about it.
+func (e *Executor) handleNotice(t lifetime.Target, h http.Header) {
+	n, err := e.notice(h)
+	if err != nil {
+		e.observer.NoticeMalformed(t.ID, err)
+	}
+	now := time.Now()
+	if current := e.tracker.Target(); current.ID != t.ID || current.StartedMS != t.StartedMS {
+		return
+	}
+	if e.controller.TargetResponded(now, n.RateLimit, n.Limited) {
+		e.observer.RateLimitChanged(t.ID, n.RateLimit)
+	}
+	e.startWaiting()
+}
+
 // checkTarget returns an error if the current lifetime of the target cannot run the call.
 func (e *Executor) checkTarget(c *mustardmast.TargetCall, t lifetime.Target) error {
 	switch {
@@ -244,7 +300,7 @@
 		err = fault.Newf(fault.QueueFull, "no slot became free within %v", maxWait).WithRetryAfter(c.MaxWait)
 	}
 	if !e.controller.Cancel(ticket) { // it has been started in the meantime
-		e.controller.Done(time.Now(), ticket, false)
+		e.done(ticket, false)
 	}
 	return err
 }
--- a/io/localtarget/localtarget_test.go
+++ b/io/localtarget/localtarget_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
+	"strconv"
 	"sync"
 	"testing"
 	"time"
@@ -27,7 +28,9 @@
 func (nopObserver) CallRejected(*mustardmast.TargetCall, error, admission.Report, lifetime.Target) {}
 func (nopObserver) CallCompleted(*mustardmast.TargetCall, time.Duration, time.Duration, error, lifetime.Target) {
 }
-func (nopObserver) TargetLost(string, error) {}
+func (nopObserver) TargetLost(string, error)         {}
+func (nopObserver) RateLimitChanged(string, float64) {}
+func (nopObserver) NoticeMalformed(string, error)    {}
 
 // fixture is an executor in front of a stub target with a single slot.
 type fixture struct {
@@ -41,29 +44,46 @@
 	runs []string
 }
 
-func newFixture(t *testing.T) *fixture {
+// newFixture returns an executor whose target responds by respond; nil stands for runs that release completes.
+func newFixture(t *testing.T, respond http.HandlerFunc) *fixture {
 	t.Helper()
 	f := &fixture{release: make(chan struct{}, 100), controller: admission.New()}
+	if respond == nil {
+		respond = f.awaitRelease
+	}
 	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		f.mu.Lock()
 		f.runs = append(f.runs, r.Header.Get("Request-Id"))
 		f.mu.Unlock()
-		select {
-		case <-f.release:
-		case <-r.Context().Done():
-		}
-		w.Header().Set("Request-Id", r.Header.Get("Request-Id"))
-		_, _ = io.WriteString(w, "done")
+		respond(w, r)
 	}))
 	t.Cleanup(s.Close)
 	f.address = netip.MustParseAddrPort(s.Listener.Addr().String())
 	f.tracker = lifetime.New(f.address)
 	f.announce("i-1", 1000, false)
 	f.controller.SetSlots(time.Now(), 1)
-	f.Executor = localtarget.New(f.tracker, f.controller, targetconn.New(f.address.String(), names, func() {}), nopObserver{}, func() uint64 { return 7 })
+	f.Executor = localtarget.New(localtarget.Options{
+		Tracker: f.tracker, Controller: f.controller, Pool: targetconn.New(f.address.String(), names, func() {}), Observer: nopObserver{},
+		Notice: func(h http.Header) (n mustardmast.TargetNotice, err error) {
+			if n.Limited = h.Get("Limit") != ""; n.Limited {
+				n.RateLimit, err = strconv.ParseFloat(h.Get("Limit"), 64)
+			}
+			return n, err
+		},
+		Version: func() uint64 { return 7 },
+	})
 	return f
 }
 
+func (f *fixture) awaitRelease(w http.ResponseWriter, r *http.Request) {
+	select {
+	case <-f.release:
+	case <-r.Context().Done():
+	}
+	w.Header().Set("Request-Id", r.Header.Get("Request-Id"))
+	_, _ = io.WriteString(w, "done")
+}
+
 func (f *fixture) announce(id string, started int64, draining bool) {
 	f.tracker.Announce(lifetime.Announcement{ID: id, Service: "watch", Address: f.address, Slots: 1, Sequence: time.Now().UnixNano(), StartedMS: started, Draining: draining})
 }
@@ -104,7 +124,7 @@
 // Guards against starting a non-repeatable call twice, for example when a connection between nodes delivers it after
 // its sender has canceled it.
 func TestNonRepeatableCallStartsOnce(t *testing.T) {
-	f := newFixture(t)
+	f := newFixture(t, nil)
 	f.release <- struct{}{}
 	f.release <- struct{}{}
 	assert.NilError(t, f.run(context.Background(), call("a")))
@@ -120,7 +140,7 @@
 
 // Guards against starting a waiting call after its caller received the outcome not-executed.
 func TestCallCanceledWhileWaitingDoesNotRun(t *testing.T) {
-	f := newFixture(t)
+	f := newFixture(t, nil)
 	done := make(chan error, 1)
 	go func() { done <- f.run(context.Background(), call("first")) }()
 	eventually(t, func() bool { return len(f.ran()) == 1 })
@@ -144,7 +164,7 @@
 // Guards against interrupting a non-repeatable run whose caller has canceled, and against continuing a repeatable one.
 func TestCallerCancelsRunningCall(t *testing.T) {
 	for _, repeatable := range []bool{false, true} {
-		f := newFixture(t)
+		f := newFixture(t, nil)
 		c := call("a")
 		c.Repeatable = repeatable
 		ctx, cancel := context.WithCancel(context.Background())
@@ -172,7 +192,7 @@
 		"no time":       func(_ *fixture, c *mustardmast.TargetCall) { c.Deadline = time.Now() },
 	} {
 		t.Run(name, func(t *testing.T) {
-			f := newFixture(t)
+			f := newFixture(t, nil)
 			c := call("a")
 			change(f, c)
 			err := f.run(context.Background(), c)
@@ -185,7 +205,7 @@
 
 // Guards against a call that waited for one lifetime of the target and starts on its successor.
 func TestLifetimeReplacedWhileCallWaits(t *testing.T) {
-	f := newFixture(t)
+	f := newFixture(t, nil)
 	go func() { _ = f.run(context.Background(), call("first")) }()
 	eventually(t, func() bool { return len(f.ran()) == 1 })
 	done := make(chan error, 1)
@@ -200,7 +220,7 @@
 
 // Guards against sub-calls that are not attributed to their run, and against client requests that are.
 func TestSubCallsOfRun(t *testing.T) {
-	f := newFixture(t)
+	f := newFixture(t, nil)
 	c := call("a")
 	c.Priority, c.Retry = 2, true
 	done := make(chan mustardmast.TargetReport, 1)
@@ -223,3 +243,56 @@
 	assert.Assert(t, report.HasSubCalls)
 	eventually(t, func() bool { return f.ParentRun("a.b") == nil })
 }
+
+// newNoticeFixture returns an executor in front of a target with 20 slots that responds with the given header fields.
+func newNoticeFixture(t *testing.T, respond func(h http.Header) int) *fixture {
+	t.Helper()
+	f := newFixture(t, func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Request-Id", r.Header.Get("Request-Id"))
+		w.WriteHeader(respond(w.Header()))
+	})
+	f.controller.SetSlots(time.Now(), 20)
+	return f
+}
+
+// Guards against a target that gets far more requests than the limit that it names in its answers and refusals.
+func TestTargetGetsNoMoreThanItsNamedLimit(t *testing.T) {
+	const limit, duration = 40, 2 * time.Second
+	f := newNoticeFixture(t, func(h http.Header) int {
+		h.Set("Limit", strconv.Itoa(limit))
+		if time.Now().UnixNano()%2 == 0 {
+			h.Set("Refused", "1")
+			return http.StatusServiceUnavailable
+		}
+		return http.StatusOK
+	})
+	var wg sync.WaitGroup
+	began := time.Now()
+	for worker := range 10 {
+		wg.Go(func() {
+			for n := 0; time.Since(began) < duration; n++ {
+				c := call(strconv.Itoa(worker) + "-" + strconv.Itoa(n))
+				c.MaxWait = 50 * time.Millisecond
+				if f.run(context.Background(), c) != nil {
+					time.Sleep(5 * time.Millisecond)
+				}
+			}
+		})
+	}
+	wg.Wait()
+	got := float64(len(f.ran()))
+	allowed := limit*time.Since(began).Seconds() + 20 // one for each slot before the first response
+	assert.Assert(t, got <= allowed, "%v requests, at most %v", got, allowed)
+	assert.Assert(t, got > 0.8*limit*duration.Seconds(), "%v requests", got)
+}
+
+// Guards against a limit that is taken from the response of another lifetime at the target's address.
+func TestNoticeOfAnotherLifetimeIsIgnored(t *testing.T) {
+	f := newNoticeFixture(t, func(h http.Header) int {
+		h.Set("Limit", "1")
+		return http.StatusMisdirectedRequest
+	})
+	assert.Equal(t, fault.KindOf(f.run(context.Background(), call("a"))), fault.WrongIncarnation)
+	f.announce("i-1", 1000, false)
+	assert.Equal(t, f.controller.Report(time.Now()).Limit, 18)
+}
--- a/io/targetconn/exchange.go
+++ b/io/targetconn/exchange.go
@@ -19,25 +19,29 @@
 )
 
 // exchange sends a call on an open connection and reads the head of the response. It closes the connection if it fails.
-func (p *Pool) exchange(ctx context.Context, cn *conn, c *mustardmast.TargetCall, lifetime string, deadline time.Time) (*mustardmast.TargetReply, error) {
+func (p *Pool) exchange(ctx context.Context, cn *conn, c *mustardmast.TargetCall, lifetime string, deadline time.Time) (*mustardmast.TargetReply, http.Header, error) {
 	if err := cn.SetDeadline(deadline.Add(responseGrace)); err != nil {
 		_ = cn.Close()
-		return nil, fault.Wrap(err, fault.NotReady, "set deadline of target connection")
+		return nil, nil, fault.Wrap(err, fault.NotReady, "set deadline of target connection")
 	}
 	stop := context.AfterFunc(ctx, func() { _ = cn.Close() })
 	body, err := p.sendRequest(cn, c, lifetime, time.Until(deadline))
 	if err != nil {
 		stop()
 		_ = cn.Close()
-		return nil, p.classify(ctx, err, "sending request to target")
+		return nil, nil, p.classify(ctx, err, "sending request to target")
 	}
 	resp, err := p.readResponse(cn, c)
 	if err != nil {
 		stop()
 		_ = cn.Close()
-		return nil, p.classify(ctx, err, "no response from target")
+		return nil, nil, p.classify(ctx, err, "no response from target")
 	}
-	return p.toReply(cn, resp, body, stop)
+	reply, err := p.toReply(cn, resp, body, stop)
+	if resp.StatusCode == http.StatusMisdirectedRequest {
+		return reply, nil, err // the response of another lifetime
+	}
+	return reply, resp.Header, err
 }
 
 // classify returns the error of a call that failed after parts of it may have been sent.
--- a/io/targetconn/targetconn.go
+++ b/io/targetconn/targetconn.go
@@ -121,16 +121,17 @@
 }
 
 // Do sends a call to the lifetime of the target with the given id. An error has the outcome not-executed only if the
-// call has not run and will not. The caller must close the body of the reply.
-func (p *Pool) Do(ctx context.Context, c *mustardmast.TargetCall, lifetime string, deadline time.Time) (*mustardmast.TargetReply, error) {
+// call has not run and will not. The caller must close the body of the reply. The header is that of the response of this
+// lifetime, also if it did not execute the call; it is nil without such a response.
+func (p *Pool) Do(ctx context.Context, c *mustardmast.TargetCall, lifetime string, deadline time.Time) (*mustardmast.TargetReply, http.Header, error) {
 	cn := p.get(time.Now())
 	if cn == nil {
 		var err error
 		if cn, err = p.dial(ctx); err != nil {
 			if ctx.Err() != nil {
-				return nil, fault.Wrap(ctx.Err(), fault.Canceled, "before the request was sent").WithOutcome(fault.NotExecuted)
+				return nil, nil, fault.Wrap(ctx.Err(), fault.Canceled, "before the request was sent").WithOutcome(fault.NotExecuted)
 			}
-			return nil, fault.Wrap(err, fault.NotReady, "connecting to target")
+			return nil, nil, fault.Wrap(err, fault.NotReady, "connecting to target")
 		}
 	}
 	return p.exchange(ctx, cn, c, lifetime, deadline)
--- a/io/targetconn/targetconn_test.go
+++ b/io/targetconn/targetconn_test.go
@@ -73,7 +73,7 @@
 }
 
 func do(p *targetconn.Pool, c *mustardmast.TargetCall) (string, error) {
-	reply, err := p.Do(context.Background(), c, "i-1", time.Now().Add(2*time.Second))
+	reply, _, err := p.Do(context.Background(), c, "i-1", time.Now().Add(2*time.Second))
 	if err != nil {
 		return "", err
 	}
@@ -253,7 +253,7 @@
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	time.AfterFunc(50*time.Millisecond, cancel)
-	_, err := newPool(s).Do(ctx, call("a"), "i-1", time.Now().Add(5*time.Second))
+	_, _, err := newPool(s).Do(ctx, call("a"), "i-1", time.Now().Add(5*time.Second))
 	assert.Equal(t, fault.From(err).Kind(), fault.Canceled)
 	returned := time.Now()
 	assert.Assert(t, (<-closed).Sub(returned) < 500*time.Millisecond)
@@ -296,7 +296,7 @@
 		_, _ = r.ReadByte()
 	})
 	began := time.Now()
-	_, err := newPool(s).Do(context.Background(), call("a"), "i-1", began.Add(200*time.Millisecond))
+	_, _, err := newPool(s).Do(context.Background(), call("a"), "i-1", began.Add(200*time.Millisecond))
 	assert.Equal(t, fault.From(err).Kind(), fault.DeadlineExceeded)
 	assert.Assert(t, time.Since(began) < time.Second)
 }
--- a/sidecar/providers.go
+++ b/sidecar/providers.go
@@ -91,7 +91,9 @@
 }
 
 func newExecutor(t *lifetime.Tracker, c *admission.Controller, p *targetconn.Pool, r *decisions.Recorder, f *fleet.Fleet) *localtarget.Executor {
-	return localtarget.New(t, c, p, r, f.Version)
+	return localtarget.New(localtarget.Options{
+		Tracker: t, Controller: c, Pool: p, Observer: r, Notice: platform.ParseNotice, Version: f.Version,
+	})
 }
 
 func newRetryBudget(s platform.Settings) *retrybudget.Budget {
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -177,6 +177,7 @@
 	}
 	load, ok := platform.ParseLoad(h)
 	if ok && s.tracker.Assume(h.Get(platform.Headers().Lifetime), service, load.Slots) {
+		s.controller.TargetReplaced()
 		s.controller.SetSlots(time.Now(), load.Slots)
 		t := s.tracker.Target()
 		s.log.Write(eventlog.TargetReady, zap.String("target", t.ID), zap.String("service", t.Service), zap.Int("slots", t.Slots), zap.String("from", "health"))
