core/lifetime, io/localtarget: a target that states its leaving drains

What callers would see: a request sent after a response with Server-Leaving reaches that target (DRAIN). Only announcements set the state of a lifetime, and a later "ready" announcement made it ready.

Cause: as with the named limit, state of a target in its responses that nothing read.

Change: a response or refusal that states it makes its lifetime draining; later announcements of that start do not undo it, a later start under the same id does. A response of another lifetime (421) is not used. A node that has just started does not use a target whose health response states it.

--- a/core/lifetime/lifetime.go
+++ b/core/lifetime/lifetime.go
@@ -52,15 +52,16 @@
 	latest       Announcement
 	state        State
 	deregistered map[string]int64 // start of deregistered lifetimes by ID, in Unix milliseconds
+	leaving      map[string]int64 // the same for lifetimes of which a response has stated that they shut down
 	assumed      bool             // the current lifetime is known from a response only, not from an announcement
 }
 
-// maxDeregistered bounds the deregistered lifetimes that are remembered.
+// maxDeregistered bounds the deregistered lifetimes that are remembered, and those that shut down.
 const maxDeregistered = 64
 
 // New returns a tracker of the target at address.
 func New(address netip.AddrPort) *Tracker {
-	return &Tracker{address: address, deregistered: map[string]int64{}}
+	return &Tracker{address: address, deregistered: map[string]int64{}, leaving: map[string]int64{}}
 }
 
 // Announce records an announcement. It returns false, and changes nothing, if the announcement is for another address,
@@ -76,7 +77,7 @@
 	}
 	t.latest, t.assumed = a, false
 	t.state = Ready
-	if a.Draining {
+	if start, leaving := t.leaving[a.ID]; a.Draining || leaving && a.StartedMS <= start {
 		t.state = Draining
 	}
 	return true
@@ -114,10 +115,34 @@
 	if start == 0 {
 		start = d.Received.UnixMilli() // it started before that
 	}
-	if len(t.deregistered) >= maxDeregistered {
-		clear(t.deregistered)
+	remember(t.deregistered, d.ID, start)
+}
+
+func remember(starts map[string]int64, id string, start int64) {
+	if len(starts) >= maxDeregistered {
+		clear(starts)
+	}
+	starts[id] = max(start, starts[id])
+}
+
+// MarkLeaving records that a response of a lifetime has stated that it shuts down. Later announcements do not make it
+// ready again. It returns false if that changes nothing.
+func (t *Tracker) MarkLeaving(now time.Time, lifetime Target) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.latest.ID != lifetime.ID || t.latest.StartedMS != lifetime.StartedMS {
+		return false // another lifetime has taken over since
+	}
+	start := lifetime.StartedMS
+	if start == 0 {
+		start = now.UnixMilli() // it started before that
 	}
-	t.deregistered[d.ID] = max(start, t.deregistered[d.ID])
+	remember(t.leaving, lifetime.ID, start)
+	if t.state != Ready {
+		return false
+	}
+	t.state = Draining
+	return true
 }
 
 // Assume records a lifetime that a response named, if no target is known yet. The next announcement replaces it. It
--- a/core/lifetime/lifetime_test.go
+++ b/core/lifetime/lifetime_test.go
@@ -118,3 +118,21 @@
 	deregistered.Deregister(lifetime.Deregistration{ID: "a"})
 	assert.Assert(t, !deregistered.Assume("a", "watch", 30))
 }
+
+// Guards against a target that gets requests again although one of its responses has stated that it shuts down.
+func TestLeavingLifetimeStaysDraining(t *testing.T) {
+	for _, started := range []int64{1000, 0} {
+		l := lifetime.New(address)
+		assert.Assert(t, l.Announce(announcement("a", started, 1)))
+		before := l.Target()
+		assert.Assert(t, l.MarkLeaving(time.UnixMilli(5000), before))
+		assert.Assert(t, !l.MarkLeaving(time.UnixMilli(5000), before), "only once")
+		assertState(t, l, "a", lifetime.Draining)
+		assert.Assert(t, l.Announce(announcement("a", started, 2)))
+		assertState(t, l, "a", lifetime.Draining)
+		assert.Assert(t, l.Announce(announcement("a", 6000, 1)), "a later start under the same ID")
+		assertState(t, l, "a", lifetime.Ready)
+		assert.Assert(t, !l.MarkLeaving(time.UnixMilli(7000), before), "a late response of the earlier start")
+		assertState(t, l, "a", lifetime.Ready)
+	}
+}
--- a/headers.go
+++ b/headers.go
@@ -23,4 +23,5 @@
 type TargetNotice struct {
 	Limited   bool    // the target limits the rate of its requests
 	RateLimit float64 // requests per second from all nodes together, if Limited
+	Leaving   bool    // the target is shutting down
 }
--- a/io/decisions/decisions.go
+++ b/io/decisions/decisions.go
@@ -58,6 +58,7 @@
 	newerConfig func(host string, version uint64)
 	hostDown    func(host string, err error)
 	targetLost  func(id string, err error)
+	leaving     func(id string)
 
 	answered, failed, rejected, offered, served, callsRejected, ended, panicked, library, notices lineLimiter
 
@@ -101,11 +102,11 @@
 func (k countersByKind) of(err error) *metrics.Counter { return k[fault.KindOf(err)] }
 
 // New returns a recorder that counts in set. NewerConfig is called when another host has a newer configuration,
-// hostDown when a host can no longer be reached, and targetLost when the target on this host accepts no connections or
-// has been replaced.
-func New(l *eventlog.Log, set *metrics.Set, newerConfig func(string, uint64), hostDown, targetLost func(string, error)) *Recorder {
+// hostDown when a host can no longer be reached, targetLost when the target on this host accepts no connections or has
+// been replaced, and leaving when the target has stated that it is shutting down.
+func New(l *eventlog.Log, set *metrics.Set, newerConfig func(string, uint64), hostDown, targetLost func(string, error), leaving func(string)) *Recorder {
 	r := &Recorder{
-		log: l, set: set, newerConfig: newerConfig, hostDown: hostDown, targetLost: targetLost,
+		log: l, set: set, newerConfig: newerConfig, hostDown: hostDown, targetLost: targetLost, leaving: leaving,
 		latency:      set.NewPrometheusHistogramExt("mustardmast_request_duration_seconds", telemetry.LatencyBuckets),
 		wait:         set.NewPrometheusHistogramExt("mustardmast_slot_wait_seconds", telemetry.LatencyBuckets),
 		run:          set.NewPrometheusHistogramExt("mustardmast_target_duration_seconds", telemetry.LatencyBuckets),
@@ -228,6 +229,9 @@
 // TargetLost implements localtarget.Observer.
 func (r *Recorder) TargetLost(id string, err error) { r.targetLost(id, err) }
 
+// TargetLeaving implements localtarget.Observer.
+func (r *Recorder) TargetLeaving(id string) { r.leaving(id) }
+
 // RateLimitChanged implements localtarget.Observer.
 func (r *Recorder) RateLimitChanged(id string, limit float64) {
 	r.rateLimit.Store(math.Float64bits(limit))
--- a/io/decisions/decisions_test.go
+++ b/io/decisions/decisions_test.go
@@ -23,7 +23,7 @@
 // suppressed.
 func TestEveryOutcomeIsCounted(t *testing.T) {
 	set := metrics.NewSet()
-	r := decisions.New(eventlog.New(zap.NewNop()), set, func(string, uint64) {}, func(string, error) {}, func(string, error) {})
+	r := decisions.New(eventlog.New(zap.NewNop()), set, func(string, uint64) {}, func(string, error) {}, func(string, error) {}, func(string) {})
 	c := &mustardmast.TargetCall{ID: "a", Deadline: time.Now().Add(time.Second)}
 	const times = 1000 // more than the rate limit of any kind of line
 	for range times {
--- a/io/localtarget/localtarget.go
+++ b/io/localtarget/localtarget.go
@@ -42,6 +42,8 @@
 	CallCompleted(c *mustardmast.TargetCall, waited, took time.Duration, err error, t lifetime.Target)
 	// TargetLost is called when a lifetime no longer accepts connections or has been replaced.
 	TargetLost(id string, err error)
+	// TargetLeaving is called when a response of a lifetime states that it is shutting down.
+	TargetLeaving(id string)
 	// RateLimitChanged is called when responses of a lifetime begin or cease to name a limit on the rate of its requests,
 	// or name another one. Limit is in requests per second, and 0 for no limit.
 	RateLimitChanged(id string, limit float64)
@@ -262,6 +264,9 @@
 		e.observer.NoticeMalformed(t.ID, err)
 	}
 	now := time.Now()
+	if n.Leaving && e.tracker.MarkLeaving(now, t) {
+		e.observer.TargetLeaving(t.ID)
+	}
 	if current := e.tracker.Target(); current.ID != t.ID || current.StartedMS != t.StartedMS {
 		return
 	}
--- a/io/localtarget/localtarget_test.go
+++ b/io/localtarget/localtarget_test.go
@@ -29,6 +29,7 @@
 func (nopObserver) CallCompleted(*mustardmast.TargetCall, time.Duration, time.Duration, error, lifetime.Target) {
 }
 func (nopObserver) TargetLost(string, error)         {}
+func (nopObserver) TargetLeaving(string)             {}
 func (nopObserver) RateLimitChanged(string, float64) {}
 func (nopObserver) NoticeMalformed(string, error)    {}
 
@@ -65,6 +66,7 @@
 	f.Executor = localtarget.New(localtarget.Options{
 		Tracker: f.tracker, Controller: f.controller, Pool: targetconn.New(f.address.String(), names, func() {}), Observer: nopObserver{},
 		Notice: func(h http.Header) (n mustardmast.TargetNotice, err error) {
+			n.Leaving = h.Get("Leaving") != ""
 			if n.Limited = h.Get("Limit") != ""; n.Limited {
 				n.RateLimit, err = strconv.ParseFloat(h.Get("Limit"), 64)
 			}
@@ -286,13 +288,36 @@
 	assert.Assert(t, got > 0.8*limit*duration.Seconds(), "%v requests", got)
 }
 
-// Guards against a limit that is taken from the response of another lifetime at the target's address.
+// Guards against calls to a target after one of its answers or refusals has stated that it is shutting down.
+func TestTargetThatStatesItsLeavingGetsNoCalls(t *testing.T) {
+	for _, status := range []int{http.StatusOK, http.StatusServiceUnavailable} {
+		f := newNoticeFixture(t, func(h http.Header) int {
+			h.Set("Leaving", "1")
+			if status != http.StatusOK {
+				h.Set("Refused", "1")
+			}
+			return status
+		})
+		_ = f.run(context.Background(), call("a"))
+		assert.Equal(t, fault.KindOf(f.run(context.Background(), call("b"))), fault.Draining)
+		f.announce("i-1", 1000, false)
+		assert.Equal(t, fault.KindOf(f.run(context.Background(), call("c"))), fault.Draining)
+		assert.DeepEqual(t, f.ran(), []string{"a"})
+		f.announce("i-1", 2000, false) // started again
+		_ = f.run(context.Background(), call("d"))
+		assert.DeepEqual(t, f.ran(), []string{"a", "d"})
+	}
+}
+
+// Guards against a limit or a leaving that is taken from the response of another lifetime at the target's address.
 func TestNoticeOfAnotherLifetimeIsIgnored(t *testing.T) {
 	f := newNoticeFixture(t, func(h http.Header) int {
+		h.Set("Leaving", "1")
 		h.Set("Limit", "1")
 		return http.StatusMisdirectedRequest
 	})
 	assert.Equal(t, fault.KindOf(f.run(context.Background(), call("a"))), fault.WrongIncarnation)
 	f.announce("i-1", 1000, false)
+	assert.Equal(t, f.tracker.Target().State, lifetime.Ready)
 	assert.Equal(t, f.controller.Report(time.Now()).Limit, 18)
 }
--- a/sidecar/cluster_test.go
+++ b/sidecar/cluster_test.go
@@ -189,6 +189,7 @@
 	id      string
 	server  *http.Server
 	handler atomic.Pointer[http.HandlerFunc]
+	leaving atomic.Bool // responses state that the target is shutting down
 
 	mu   sync.Mutex
 	runs map[string]int
@@ -203,6 +204,9 @@
 	tgt.server = &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		request := r.Header.Get("Attempt-Id")
 		w.Header().Set("Attempt-Id", request)
+		if tgt.leaving.Load() {
+			w.Header().Set("Server-Leaving", "1")
+		}
 		switch {
 		case r.URL.Path == "/healthz":
 			w.Header().Set("Instance-Id", id)
--- a/sidecar/providers.go
+++ b/sidecar/providers.go
@@ -87,7 +87,7 @@
 }
 
 func newRecorder(l *eventlog.Log, set *metrics.Set, f *fleet.Fleet, reporter *targetReporter) *decisions.Recorder {
-	return decisions.New(l, set, f.FetchNewerConfig, f.HostDown, reporter.targetLost)
+	return decisions.New(l, set, f.FetchNewerConfig, f.HostDown, reporter.targetLost, reporter.targetLeaving)
 }
 
 func newExecutor(t *lifetime.Tracker, c *admission.Controller, p *targetconn.Pool, r *decisions.Recorder, f *fleet.Fleet) *localtarget.Executor {
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -175,6 +175,9 @@
 		s.log.Write(eventlog.TargetNotReady, zap.String("service", service), zap.Error(err))
 		return
 	}
+	if n, _ := platform.ParseNotice(h); n.Leaving { // a malformed limit does not matter here
+		return
+	}
 	load, ok := platform.ParseLoad(h)
 	if ok && s.tracker.Assume(h.Get(platform.Headers().Lifetime), service, load.Slots) {
 		s.controller.TargetReplaced()
--- a/sidecar/targetreporter.go
+++ b/sidecar/targetreporter.go
@@ -34,3 +34,9 @@
 	r.log.Write(eventlog.TargetLost, zap.String("target", id), zap.Error(err))
 	r.targetChanged(r.tracker.Target())
 }
+
+// targetLeaving reports that a response of the lifetime id has stated that it is shutting down.
+func (r *targetReporter) targetLeaving(id string) {
+	r.log.Write(eventlog.TargetDraining, zap.String("target", id), zap.String("from", "response"))
+	r.targetChanged(r.tracker.Target())
+}
