io/targetconn: a refusal repeated on a kept connection answers no call

What callers saw, as reported by operators of like systems: 'not run, try again' for requests that the target ran (REFUSED), or a second run (TWICE). It can happen here: a call that the target refuses may be sent to it again under the same id, on the connection that the refusal came on. A copy of the refusal then has the id of the call and passes as its answer while the call runs. A refusal without an id passed for any call.

Change: a call does not use a connection on which it was refused before, and a refusal that names no call is accepted only on a new connection; on a kept one the outcome is unknown.

Evidence: TestRepeatedRefusalOnKeptConnection fails in both forms without the change and passes with it.

Not treated: mustardmast node, the own interface, whose targets do not name the call in a refusal. Closing the connection there after a refusal would break a call that the pool has given it to meanwhile.

--- a/io/targetconn/exchange.go
+++ b/io/targetconn/exchange.go
@@ -153,7 +153,8 @@
 	}
 }
 
-// readResponse reads the response to a call. Responses to earlier calls on the connection are skipped.
+// readResponse reads the response to a call. Responses to earlier calls on the connection are skipped. A refusal that
+// names no call is accepted only on a new connection, since on a kept one it may repeat that of an earlier call.
 func (p *Pool) readResponse(cn *conn, c *mustardmast.TargetCall) (*http.Response, error) {
 	request := &http.Request{Method: c.Method}
 	for stale := 0; stale < maxStaleResponses; {
@@ -167,7 +168,10 @@
 			continue
 		}
 		id := resp.Header.Get(p.names.RequestID)
-		if id == c.ID || id == "" && p.notExecuted(resp) {
+		if id == c.ID || id == "" && p.notExecuted(resp) && !cn.kept {
+			if p.notExecuted(resp) {
+				cn.refused = append(cn.refused, c.ID)
+			}
 			return resp, nil
 		}
 		if id == "" || resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
--- a/io/targetconn/idle_test.go
+++ b/io/targetconn/idle_test.go
@@ -147,3 +147,42 @@
 	assert.Equal(t, got, "early")
 	assert.Equal(t, s.connections.Load(), int32(2))
 }
+
+// Guards against a refusal that the target writes once more on a kept connection and that passes as the answer to a later
+// send of the same call, which runs.
+func TestRepeatedRefusalOnKeptConnection(t *testing.T) {
+	for name, refusal := range map[string]string{
+		"with id":    "HTTP/1.1 503 Service Unavailable\r\nRequest-Id: a\r\nRefused: 1\r\nContent-Length: 0\r\n\r\n",
+		"without id": "HTTP/1.1 503 Service Unavailable\r\nRefused: 1\r\nContent-Length: 0\r\n\r\n",
+	} {
+		var runs atomic.Int32
+		s := newTarget(t, func(n int, c net.Conn, r *bufio.Reader) {
+			for sent := 0; ; sent++ {
+				id, _, err := readRequest(r)
+				if err != nil {
+					return
+				}
+				if n == 1 && sent == 0 {
+					_, _ = io.WriteString(c, refusal)
+					continue
+				}
+				runs.Add(1)
+				if n == 1 {
+					_, _ = io.WriteString(c, refusal)
+				}
+				_, _ = io.WriteString(c, response(id, "ran"))
+			}
+		})
+		p := newPool(s)
+		_, err := do(p, call("a"))
+		assert.Equal(t, fault.From(err).Kind(), fault.TargetRefused, name)
+		for _, id := range []string{"b", "a"} {
+			before := runs.Load()
+			_, err := do(p, call(id))
+			if runs.Load() > before {
+				assert.Assert(t, err == nil || fault.From(err).Outcome() != fault.NotExecuted, "%s, %s: %v", name, id, err)
+			}
+		}
+		assert.Assert(t, runs.Load() > 0, name)
+	}
+}
--- a/io/targetconn/targetconn.go
+++ b/io/targetconn/targetconn.go
@@ -14,6 +14,7 @@
 	"math"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -38,7 +39,9 @@
 	maxHeadSize = 192 << 10
 	// maxStaleResponses is the maximum number of responses to earlier requests that are skipped.
 	maxStaleResponses = 4
-	maxIdleConns      = 512
+	// maxRefusedIDs is the number of refused calls after which a connection is not kept.
+	maxRefusedIDs = 16
+	maxIdleConns  = 512
 )
 
 type conn struct {
@@ -46,6 +49,8 @@
 	r         *bufio.Reader
 	limited   *io.LimitedReader // underlies r; bounds the response head
 	idleSince time.Time
+	kept      bool     // has carried an earlier call
+	refused   []string // ids of calls that the target refused on this connection
 }
 
 // Pool holds the connections to one target. Its methods may be called concurrently.
@@ -74,18 +79,21 @@
 	}
 }
 
-// get returns the most recently used idle connection, or nil if all have been idle for too long.
-func (p *Pool) get(now time.Time) *conn {
+// get returns the most recently used idle connection for the call with the given id, or nil if all have been idle for
+// too long. A connection on which the target has refused the same call is passed over: the target might send that refusal
+// once more, and nothing would distinguish it from the response to the next attempt.
+func (p *Pool) get(now time.Time, id string) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for len(p.idle) > 0 {
-		last := len(p.idle) - 1
-		c := p.idle[last]
+	for i := len(p.idle) - 1; i >= 0; i-- {
+		c := p.idle[i]
 		if now.Sub(c.idleSince) > maxIdleTime {
 			return nil
 		}
-		p.idle[last] = nil
-		p.idle = p.idle[:last]
+		if slices.Contains(c.refused, id) {
+			continue
+		}
+		p.idle = slices.Delete(p.idle, i, i+1)
 		if c.r.Buffered() == 0 {
 			return c
 		}
@@ -95,11 +103,11 @@
 }
 
 func (p *Pool) put(now time.Time, c *conn) {
-	if c.SetDeadline(time.Time{}) != nil || c.r.Buffered() > 0 {
+	if c.SetDeadline(time.Time{}) != nil || c.r.Buffered() > 0 || len(c.refused) > maxRefusedIDs {
 		_ = c.Close()
 		return
 	}
-	c.idleSince = now
+	c.idleSince, c.kept = now, true
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for len(p.idle) > 0 && (len(p.idle) >= maxIdleConns || now.Sub(p.idle[0].idleSince) > maxIdleTime) { // oldest first
@@ -124,7 +132,7 @@
 // call has not run and will not. The caller must close the body of the reply. The header is that of the response of this
 // lifetime, also if it did not execute the call; it is nil without such a response.
 func (p *Pool) Do(ctx context.Context, c *mustardmast.TargetCall, lifetime string, deadline time.Time) (*mustardmast.TargetReply, http.Header, error) {
-	cn := p.get(time.Now())
+	cn := p.get(time.Now(), c.ID)
 	if cn == nil {
 		var err error
 		if cn, err = p.dial(ctx); err != nil {
