io/targetconn: end responses without end at once

Two held their call, and a slot, until the deadline: interim responses without end, and the body of a response to an earlier call, which is skipped. The head of a health response was not bounded: 407 MB were taken in 10 s.

Change: at most 32 interim responses and 1 MiB of the body of a response to an earlier call are skipped; the head of a health response has the bound of all others.

--- a/io/targetconn/exchange.go
+++ b/io/targetconn/exchange.go
@@ -157,16 +157,11 @@
 // names no call is accepted only on a new connection, since on a kept one it may repeat that of an earlier call.
 func (p *Pool) readResponse(cn *conn, c *mustardmast.TargetCall) (*http.Response, error) {
 	request := &http.Request{Method: c.Method}
-	for stale := 0; stale < maxStaleResponses; {
-		cn.limited.N = maxHeadSize
-		resp, err := http.ReadResponse(cn.r, request)
-		cn.limited.N = math.MaxInt64
+	for range maxStaleResponses {
+		resp, err := cn.readHead(request)
 		if err != nil {
 			return nil, err
 		}
-		if resp.StatusCode < http.StatusOK {
-			continue
-		}
 		id := resp.Header.Get(p.names.RequestID)
 		if id == c.ID || id == "" && p.notExecuted(resp) && !cn.kept {
 			if p.notExecuted(resp) {
@@ -177,14 +172,29 @@
 		if id == "" || resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
 			return nil, fmt.Errorf("response to another request: got id %q", id)
 		}
-		stale++
-		if _, err := io.Copy(io.Discard, resp.Body); err != nil {
-			return nil, err
+		switch n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxStaleBody+1)); {
+		case err != nil:
+			return nil, errors.Wrap(err, "body of a response to another request")
+		case n > maxStaleBody:
+			return nil, fmt.Errorf("response to another request has a body of more than %d bytes", maxStaleBody)
 		}
 	}
 	return nil, fmt.Errorf("more than %d responses to other requests", maxStaleResponses)
 }
 
+// readHead reads the head of the next response and skips interim responses.
+func (cn *conn) readHead(request *http.Request) (*http.Response, error) {
+	defer func() { cn.limited.N = math.MaxInt64 }()
+	for range maxInterimResponses {
+		cn.limited.N = maxHeadSize
+		resp, err := http.ReadResponse(cn.r, request)
+		if err != nil || resp.StatusCode >= http.StatusOK {
+			return resp, err
+		}
+	}
+	return nil, fmt.Errorf("more than %d interim responses", maxInterimResponses)
+}
+
 // notExecuted reports whether the response states that the target did not execute the request.
 func (p *Pool) notExecuted(r *http.Response) bool {
 	return r.Header.Get(p.names.NotExecuted) != "" || r.StatusCode == http.StatusMisdirectedRequest
--- a/io/targetconn/targetconn.go
+++ b/io/targetconn/targetconn.go
@@ -39,6 +39,10 @@
 	maxHeadSize = 192 << 10
 	// maxStaleResponses is the maximum number of responses to earlier requests that are skipped.
 	maxStaleResponses = 4
+	// maxStaleBody is the size in bytes of the largest body of such a response that is skipped.
+	maxStaleBody = 1 << 20
+	// maxInterimResponses is the maximum number of responses with a status below 200 that precede a response.
+	maxInterimResponses = 32
 	// maxRefusedIDs is the number of refused calls after which a connection is not kept.
 	maxRefusedIDs = 16
 	maxIdleConns  = 512
@@ -196,7 +200,7 @@
 	if _, err = fmt.Fprintf(cn, "GET %s HTTP/1.1\r\nHost: %s\r\nConnection: close\r\n\r\n", path, p.address); err != nil {
 		return nil, fault.Wrap(err, fault.TargetFailed, "probe")
 	}
-	resp, err := http.ReadResponse(cn.r, nil)
+	resp, err := cn.readHead(nil)
 	if err != nil {
 		return nil, fault.Wrap(err, fault.TargetFailed, "probe")
 	}
