io/targetconn: test of a response head that is cut short

Operators of like systems saw a 200 with an empty or short body, framed as whole, when a target stopped in the middle of its head. It doesn't happen here: the test cuts the head of a response after each of its bytes, and each call fails with an unknown outcome. It passes on the code before; it is kept as a guard.

--- a/io/targetconn/targetconn_test.go
+++ b/io/targetconn/targetconn_test.go
@@ -300,3 +300,19 @@
 	assert.Equal(t, fault.From(err).Kind(), fault.DeadlineExceeded)
 	assert.Assert(t, time.Since(began) < time.Second)
 }
+
+// Guards against a response whose head is cut short, at any byte, and that passes as a whole response with an empty or
+// short body.
+func TestHeadCutShort(t *testing.T) {
+	whole := "HTTP/1.1 200 OK\r\nServer-Signature: s1\r\nRequest-Id: a\r\nContent-Length: 4\r\nContent-Type: text/plain\r\n\r\n"
+	for cut := range len(whole) {
+		s := newTarget(t, func(_ int, c net.Conn, r *bufio.Reader) {
+			if _, _, err := readRequest(r); err == nil {
+				_, _ = io.WriteString(c, whole[:cut])
+			}
+		})
+		_, err := do(newPool(s), call("a"))
+		assert.Equal(t, fault.KindOf(err), fault.TargetFailed, "%q", whole[:cut])
+		assert.Equal(t, fault.From(err).Outcome(), fault.Unknown, "%q", whole[:cut])
+	}
+}
