io/httpdrain, node: answer requests that are read during a planned stop

Cause: http.Server drops a request that it reads after Shutdown has been called. The node called Shutdown as soon as no request was active, while a connection that it had just accepted had its request under way. The sidecar had met this before, and has a server that stops listening first and waits for new connections; the node had not.

Change: that server moves to io/httpdrain, and the node uses it for callers.

--- /dev/null
+++ b/io/httpdrain/httpdrain.go
@@ -0,0 +1,89 @@
+// Package httpdrain stops an HTTP server without dropping requests.
+//
+// http.Server drops a request that it reads after Shutdown has been called: the client has sent a whole request and its
+// connection ends without a response. A Server therefore stops listening first, and shuts down only when no connection is
+// new or has a request in progress.
+package httpdrain
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+const pollInterval = 20 * time.Millisecond
+
+// Server is an HTTP server that tracks the state of its connections. Its methods may be called concurrently.
+type Server struct {
+	server *http.Server
+
+	mu       sync.Mutex
+	listener net.Listener          // nil before Serve
+	active   map[net.Conn]struct{} // connections that are new, or whose request is being read or served
+}
+
+// New returns a server that serves by s. It sets the ConnState hook of s.
+func New(s *http.Server) *Server {
+	d := &Server{server: s, active: map[net.Conn]struct{}{}}
+	s.ConnState = d.connStateChanged
+	return d
+}
+
+func (s *Server) connStateChanged(conn net.Conn, state http.ConnState) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	switch state {
+	case http.StateNew, http.StateActive:
+		s.active[conn] = struct{}{}
+	default:
+		delete(s.active, conn)
+	}
+}
+
+// idle reports whether no connection is new or has a request in progress.
+func (s *Server) idle() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.active) == 0
+}
+
+// Serve serves the connections of a listener until the server stops, and returns the error of http.Server.Serve.
+func (s *Server) Serve(l net.Listener) error {
+	s.mu.Lock()
+	s.listener = l
+	s.mu.Unlock()
+	return s.server.Serve(l)
+}
+
+// Close closes all connections, also those with a request in progress.
+func (s *Server) Close() error { return s.server.Close() }
+
+// Shutdown stops listening, waits until no connection has a request in progress, and shuts the server down. It returns
+// the error of ctx if that ends first; the connections are still open then.
+func (s *Server) Shutdown(ctx context.Context) error {
+	if err := s.stopListening(); err != nil {
+		return err
+	}
+	for !s.idle() {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-time.After(pollInterval):
+		}
+	}
+	return s.server.Shutdown(ctx)
+}
+
+// stopListening closes the listener. It does nothing before Serve.
+func (s *Server) stopListening() error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.listener == nil {
+		return nil
+	}
+	return errors.Wrap(s.listener.Close(), "listener")
+}
--- a/node/node.go
+++ b/node/node.go
@@ -35,6 +35,7 @@
 	"mustardmast/io/dispatch"
 	"mustardmast/io/eventlog"
 	"mustardmast/io/execute"
+	"mustardmast/io/httpdrain"
 	"mustardmast/io/outbound"
 	"mustardmast/io/peer"
 	"mustardmast/io/target"
@@ -92,7 +93,8 @@
 	peerClient   *peer.Client
 	callerMux    *http.ServeMux
 	peerMux      *http.ServeMux
-	servers      []*http.Server
+	callers      *httpdrain.Server
+	peers        *http.Server
 	cancels      []func()
 	active       atomic.Int64 // requests in progress, of callers and of other nodes
 	mu           sync.Mutex
@@ -171,8 +173,9 @@
 
 // Start serves callers and other nodes on the listeners.
 func (n *Node) Start(callers, peers net.Listener) {
-	n.serve(callers, n.callerMux)
-	n.serve(peers, n.peerMux)
+	n.callers, n.peers = httpdrain.New(n.newServer(n.callerMux)), n.newServer(n.peerMux)
+	go n.serve(n.callers, callers)
+	go n.serve(n.peers, peers)
 	n.tick(n.options.Timers.Now())
 	n.every(outbound.CheckPeriod, n.peerClient.Check)
 	o := n.options
@@ -205,23 +208,23 @@
 	n.cancels = append(n.cancels, n.options.Timers.Every(period, f))
 }
 
-func (n *Node) serve(l net.Listener, h http.Handler) {
+func (n *Node) newServer(h http.Handler) *http.Server {
 	var p http.Protocols
 	p.SetHTTP1(true)
 	p.SetUnencryptedHTTP2(true)
 	chain := negroni.New(&recovery{log: n.options.Log}, &requestCounter{active: &n.active})
 	chain.UseHandler(h)
-	s := &http.Server{
+	return &http.Server{
 		Handler: chain, Protocols: &p, ReadHeaderTimeout: headerTimeout,
 		// Above the slots of any target, so that calls wait in the admission queue and not in HTTP/2.
 		HTTP2: &http.HTTP2Config{MaxConcurrentStreams: 1000},
 	}
-	n.servers = append(n.servers, s)
-	go func() {
-		if err := s.Serve(l); err != nil && !errors.Is(err, http.ErrServerClosed) {
-			n.options.Log.Write(eventlog.ServerFailed, zap.Error(err), zap.Stringer("address", l.Addr()))
-		}
-	}()
+}
+
+func (n *Node) serve(s interface{ Serve(l net.Listener) error }, l net.Listener) {
+	if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
+		n.options.Log.Write(eventlog.ServerFailed, zap.Error(err), zap.Stringer("address", l.Addr()))
+	}
 }
 
 // drainingError returns the error with which calls from callers are rejected while the node stops, and nil otherwise.
@@ -250,13 +253,14 @@
 		time.Sleep(drainPollInterval)
 	}
 	inFlight := n.active.Load()
+	if n.callers.Shutdown(ctx) != nil {
+		_ = n.callers.Close()
+	}
 	// Unless ctx has ended, only connections without a call are left. Shutdown would wait up to 5 s for them.
 	shutdownCtx, cancel := context.WithTimeout(ctx, shutdownTimeout)
 	defer cancel()
-	for _, s := range n.servers {
-		if s.Shutdown(shutdownCtx) != nil {
-			_ = s.Close()
-		}
+	if n.peers.Shutdown(shutdownCtx) != nil {
+		_ = n.peers.Close()
 	}
 	n.close()
 	if inFlight > 0 {
@@ -267,9 +271,8 @@
 
 // Kill closes the node immediately, like a crash of its process.
 func (n *Node) Kill() {
-	for _, s := range n.servers {
-		_ = s.Close()
-	}
+	_ = n.callers.Close()
+	_ = n.peers.Close()
 	n.close()
 }
 
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -1,7 +1,10 @@
 package node_test
 
 import (
+	"bufio"
 	"context"
+	"io"
+	"net"
 	"net/http"
 	"strings"
 	"testing"
@@ -9,6 +12,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"mustardmast/io/header"
 	"mustardmast/io/target/stub"
 )
 
@@ -90,3 +94,22 @@
 		time.Sleep(10 * time.Millisecond)
 	}
 }
+
+// Guards against a request that the node reads during a planned stop and that ends without a response.
+func TestRequestReadDuringStopIsAnswered(t *testing.T) {
+	_, first := newChain(t)
+	c, err := net.Dial("tcp", strings.TrimPrefix(first.url, "http://"))
+	assert.NilError(t, err)
+	defer c.Close()
+	time.Sleep(20 * time.Millisecond) // until the node has accepted it
+	ended := make(chan error)
+	go func() { ended <- first.node.Stop(context.Background()) }()
+	time.Sleep(50 * time.Millisecond)
+	_, err = io.WriteString(c, "POST /socket-board/list HTTP/1.1\r\nHost: a\r\nContent-Length: 0\r\n\r\n")
+	assert.NilError(t, err)
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	assert.NilError(t, err)
+	assert.Equal(t, resp.Header.Get(header.Outcome), "not-executed")
+	assert.NilError(t, resp.Body.Close())
+	assert.NilError(t, <-ended)
+}
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -23,6 +23,7 @@
 	"mustardmast/io/eventlog"
 	"mustardmast/io/fleet"
 	"mustardmast/io/hostlink"
+	"mustardmast/io/httpdrain"
 	"mustardmast/io/ingress"
 	"mustardmast/io/localtarget"
 	"mustardmast/io/logsink"
@@ -100,7 +101,7 @@
 	debug.SetMemoryLimit(int64(heapFraction * float64(current.MemoryBytes())))
 	debug.SetGCPercent(gcPercent)
 	peerAddress := netip.AddrPortFrom(current.IP(), current.PeerPort())
-	callers := newCallerServer(s.ingress)
+	callers := httpdrain.New(newHTTPServer(s.ingress))
 	servers := []struct {
 		name    string
 		address netip.AddrPort
@@ -235,7 +236,7 @@
 
 // stop makes a planned stop: it lets other nodes and clients use other hosts and waits for the requests in progress, at
 // most until the end of the grace period.
-func (s *Sidecar) stop(c *callerServer) {
+func (s *Sidecar) stop(callers *httpdrain.Server) {
 	start := time.Now()
 	deadline := start.Add(s.settings.Load().GracePeriod() - responseReserve)
 	s.reporter.draining.Store(true)
@@ -257,7 +258,7 @@
 	}
 	ctx, cancel := context.WithDeadline(context.Background(), deadline)
 	defer cancel()
-	if err := c.shutdown(ctx); err != nil {
+	if err := callers.Shutdown(ctx); err != nil {
 		s.log.Write(eventlog.DrainTimedOut, zap.Int64("requests", s.ingress.Active()), zap.Int64("calls", s.executor.Active()), zap.Error(err))
 	}
 	select {
