io/httpdrain: an unused connection does not hold a stop

Cause, by reading: a connection that a client has opened in advance and that carries no request counted as new for ever, so that a planned stop lasted until the end of the grace period; http.Server.Shutdown waits 5 s for it besides.

Change: a connection counts as new for one second, and unused ones are closed before the server shuts down.

Evidence: TestUnusedConnectionDoesNotHoldShutdown fails without the change (context deadline exceeded after 5 s).

--- a/io/httpdrain/httpdrain.go
+++ b/io/httpdrain/httpdrain.go
@@ -15,20 +15,26 @@
 	"github.com/pkg/errors"
 )
 
-const pollInterval = 20 * time.Millisecond
+const (
+	pollInterval = 20 * time.Millisecond
+	// maxNewAge is how long Shutdown waits for the first request on a connection. Clients open some connections in
+	// advance, and a request that is under way arrives within milliseconds.
+	maxNewAge = time.Second
+)
 
 // Server is an HTTP server that tracks the state of its connections. Its methods may be called concurrently.
 type Server struct {
 	server *http.Server
 
 	mu       sync.Mutex
-	listener net.Listener          // nil before Serve
-	active   map[net.Conn]struct{} // connections that are new, or whose request is being read or served
+	listener net.Listener           // nil before Serve
+	opened   map[net.Conn]time.Time // connections without a request so far
+	active   map[net.Conn]struct{}  // connections whose request is being read or served
 }
 
 // New returns a server that serves by s. It sets the ConnState hook of s.
 func New(s *http.Server) *Server {
-	d := &Server{server: s, active: map[net.Conn]struct{}{}}
+	d := &Server{server: s, opened: map[net.Conn]time.Time{}, active: map[net.Conn]struct{}{}}
 	s.ConnState = d.connStateChanged
 	return d
 }
@@ -36,18 +42,25 @@
 func (s *Server) connStateChanged(conn net.Conn, state http.ConnState) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	delete(s.opened, conn)
+	delete(s.active, conn)
 	switch state {
-	case http.StateNew, http.StateActive:
+	case http.StateNew:
+		s.opened[conn] = time.Now()
+	case http.StateActive:
 		s.active[conn] = struct{}{}
-	default:
-		delete(s.active, conn)
 	}
 }
 
-// idle reports whether no connection is new or has a request in progress.
-func (s *Server) idle() bool {
+// idle reports whether no connection has a request in progress, or is so new that its first request may be under way.
+func (s *Server) idle(now time.Time) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	for _, at := range s.opened {
+		if now.Sub(at) < maxNewAge {
+			return false
+		}
+	}
 	return len(s.active) == 0
 }
 
@@ -68,16 +81,26 @@
 	if err := s.stopListening(); err != nil {
 		return err
 	}
-	for !s.idle() {
+	for !s.idle(time.Now()) {
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
 		case <-time.After(pollInterval):
 		}
 	}
+	s.closeUnused()
 	return s.server.Shutdown(ctx)
 }
 
+// closeUnused closes the connections that have not carried a request; http.Server would wait some seconds for them.
+func (s *Server) closeUnused() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for conn := range s.opened {
+		_ = conn.Close() // nothing is lost if this fails
+	}
+}
+
 // stopListening closes the listener. It does nothing before Serve.
 func (s *Server) stopListening() error {
 	s.mu.Lock()
--- a/io/httpdrain/httpdrain_test.go
+++ b/io/httpdrain/httpdrain_test.go
@@ -58,3 +58,16 @@
 	assert.Equal(t, request(t, c), http.StatusTeapot)
 	assert.NilError(t, <-ended)
 }
+
+// Guards against a stop that lasts until the end of the grace period because a client has opened a connection in advance.
+func TestUnusedConnectionDoesNotHoldShutdown(t *testing.T) {
+	s, address := listen(t, func(http.ResponseWriter, *http.Request) {})
+	dial(t, address)
+	used := dial(t, address)
+	assert.Equal(t, request(t, used), http.StatusOK)
+	began := time.Now()
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	assert.NilError(t, s.Shutdown(ctx))
+	assert.Assert(t, time.Since(began) < 2*time.Second, "%v", time.Since(began))
+}
