io/httpdrain: serve the connections in the queue when a server stops

What callers saw: requests that arrive while a node stops listening end with "connection reset by peer" at dial, write or read (TestClientsThatGoOnDuringAPlannedStop).

Cause: clients whose connections are in the queue of the listening socket have connected, and may have sent a request. The kernel resets them when the socket is closed, and under load the queue is not empty.

Change: closing accepts all connections of the queue first and ends the queue in the same step; the server serves them like others. Only a connection that arrives between these two system calls is still reset.

TestConnectionsInTheQueueAreServedOnShutdown keeps the server from accepting while eleven clients connect; it fails without the change. Tried: closing after the queue is empty, without ending it. Close takes effect only when a blocked Accept has returned; clients that connect again and again were still reset.

--- a/io/httpdrain/httpdrain.go
+++ b/io/httpdrain/httpdrain.go
@@ -11,8 +11,6 @@
 	"net/http"
 	"sync"
 	"time"
-
-	"github.com/pkg/errors"
 )
 
 const (
@@ -28,13 +26,14 @@
 
 	mu       sync.Mutex
 	listener net.Listener           // nil before Serve
+	stopped  chan struct{}          // closed when Serve has returned
 	opened   map[net.Conn]time.Time // connections without a request so far
 	active   map[net.Conn]struct{}  // connections whose request is being read or served
 }
 
 // New returns a server that serves by s. It sets the ConnState hook of s.
 func New(s *http.Server) *Server {
-	d := &Server{server: s, opened: map[net.Conn]time.Time{}, active: map[net.Conn]struct{}{}}
+	d := &Server{server: s, stopped: make(chan struct{}), opened: map[net.Conn]time.Time{}, active: map[net.Conn]struct{}{}}
 	s.ConnState = d.connStateChanged
 	return d
 }
@@ -64,8 +63,13 @@
 	return len(s.active) == 0
 }
 
-// Serve serves the connections of a listener until the server stops, and returns the error of http.Server.Serve.
+// Serve serves the connections of a listener until the server stops, and returns the error of http.Server.Serve. It may
+// be called once.
 func (s *Server) Serve(l net.Listener) error {
+	defer close(s.stopped)
+	if tcp, ok := l.(*net.TCPListener); ok {
+		l = &listener{TCPListener: tcp}
+	}
 	s.mu.Lock()
 	s.listener = l
 	s.mu.Unlock()
@@ -101,12 +105,18 @@
 	}
 }
 
-// stopListening closes the listener. It does nothing before Serve.
+// stopListening closes the listener and waits until all connections of its queue are tracked. It does nothing before
+// Serve.
 func (s *Server) stopListening() error {
 	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.listener == nil {
+	l := s.listener
+	s.mu.Unlock()
+	if l == nil {
 		return nil
 	}
-	return errors.Wrap(s.listener.Close(), "listener")
+	if err := l.Close(); err != nil {
+		return err
+	}
+	<-s.stopped
+	return nil
 }
--- a/io/httpdrain/httpdrain_test.go
+++ b/io/httpdrain/httpdrain_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"sync"
 	"testing"
 	"time"
 
@@ -17,7 +18,12 @@
 
 func listen(t *testing.T, h http.HandlerFunc) (*httpdrain.Server, string) {
 	t.Helper()
-	s := httpdrain.New(&http.Server{Handler: h})
+	return serve(t, &http.Server{Handler: h})
+}
+
+func serve(t *testing.T, server *http.Server) (*httpdrain.Server, string) {
+	t.Helper()
+	s := httpdrain.New(server)
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
 	go func() { _ = s.Serve(l) }()
@@ -71,3 +77,34 @@
 	assert.NilError(t, s.Shutdown(ctx))
 	assert.Assert(t, time.Since(began) < 2*time.Second, "%v", time.Since(began))
 }
+
+// Guards against connections that clients have opened, and on which they have sent a request, and that are reset when the
+// server stops listening before it has accepted them.
+func TestConnectionsInTheQueueAreServedOnShutdown(t *testing.T) {
+	accepting, accept := make(chan struct{}), make(chan struct{})
+	var first sync.Once
+	server := &http.Server{
+		Handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}),
+		ConnContext: func(ctx context.Context, _ net.Conn) context.Context {
+			first.Do(func() {
+				close(accepting)
+				<-accept // keeps the server from accepting more connections
+			})
+			return ctx
+		},
+	}
+	s, address := serve(t, server)
+	conns := []net.Conn{dial(t, address)}
+	<-accepting
+	for range 10 {
+		conns = append(conns, dial(t, address))
+	}
+	ended := make(chan error)
+	go func() { ended <- s.Shutdown(context.Background()) }()
+	time.Sleep(50 * time.Millisecond)
+	close(accept)
+	for _, c := range conns {
+		assert.Equal(t, request(t, c), http.StatusOK)
+	}
+	assert.NilError(t, <-ended)
+}
--- /dev/null
+++ b/io/httpdrain/listener.go
@@ -0,0 +1,72 @@
+package httpdrain
+
+import (
+	"net"
+	"os"
+	"sync"
+	"syscall"
+
+	"github.com/pkg/errors"
+)
+
+// listener is a TCP listener that accepts all connections of its queue when it is closed. The kernel resets connections
+// that are in the queue of a closed socket, although their clients may have sent a request.
+type listener struct {
+	*net.TCPListener
+
+	mu     sync.Mutex
+	queued []net.Conn // accepted while closing
+}
+
+// Accept returns the next connection. After Close it returns those that were in the queue, and then an error.
+func (l *listener) Accept() (net.Conn, error) {
+	c, err := l.TCPListener.Accept()
+	if err == nil {
+		return c, nil
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if len(l.queued) == 0 {
+		return nil, err
+	}
+	c = l.queued[0]
+	l.queued = l.queued[1:]
+	return c, nil
+}
+
+// Close accepts the connections in the queue and closes the listener.
+func (l *listener) Close() error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	raw, err := l.SyscallConn()
+	if err != nil {
+		return errors.Wrap(err, "listener")
+	}
+	var files []int
+	err = raw.Control(func(fd uintptr) {
+		for {
+			accepted, _, err := syscall.Accept4(int(fd), syscall.SOCK_NONBLOCK|syscall.SOCK_CLOEXEC)
+			if err != nil { // EAGAIN: the queue is empty
+				// Close takes effect only when a blocked Accept has returned. If this fails, it still does.
+				_ = syscall.Shutdown(int(fd), syscall.SHUT_RD)
+				return
+			}
+			files = append(files, accepted)
+		}
+	})
+	closeErr := l.TCPListener.Close()
+	for _, fd := range files {
+		f := os.NewFile(uintptr(fd), "connection")
+		c, connErr := net.FileConn(f)
+		_ = f.Close() // FileConn has its own descriptor
+		if connErr != nil {
+			err = connErr
+			continue
+		}
+		l.queued = append(l.queued, c)
+	}
+	if err != nil {
+		return errors.Wrap(err, "accept queued connections")
+	}
+	return errors.Wrap(closeErr, "listener")
+}
