sidecar: soak with named limits and changes that no watch hears of

It counts at the target what arrives while a limit is named: at most one and a half times the limit and 5 in any second, and 8 for each restart of a node in the run.

--- a/sidecar/soak_test.go
+++ b/sidecar/soak_test.go
@@ -8,6 +8,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -21,7 +22,8 @@
 )
 
 // The soak test runs nodes as processes and injects faults from outside: signals, a store that fails, targets that drop
-// or truncate responses, changes of the configuration, and proxies that delay, reset, stall or cut in one direction the
+// or truncate responses or limit the rate of their requests, changes of the configuration, of which some reach no watch, and
+// proxies that delay, reset, stall or cut in one direction the
 // connections to a target or to the store. It compares the responses that clients got with what the targets ran.
 const (
 	soakHosts     = 5
@@ -76,6 +78,15 @@
 	mu      sync.Mutex
 	history []sentRequest
 	plan    []string
+	paces   []*pacedTarget
+}
+
+// pacedTarget records the requests that reach a target while it names a limit on their rate.
+type pacedTarget struct {
+	limit float64 // requests per second
+
+	mu       sync.Mutex
+	arrivals []time.Time
 }
 
 func newSoakRun(t *testing.T, program string, seed uint64) *soakRun {
@@ -150,7 +161,7 @@
 func (r *soakRun) injectFault(wg *sync.WaitGroup) {
 	h := r.hosts[r.random.IntN(len(r.hosts))]
 	duration := time.Duration(100+r.random.IntN(1400)) * time.Millisecond
-	kinds := []string{"kill", "pause", "term", "store", "configure", "lose", "cut", "slow-link", "reset-link", "one-way-link", "stalled-link"}
+	kinds := []string{"kill", "pause", "term", "store", "configure", "lose", "cut", "slow-link", "reset-link", "one-way-link", "stalled-link", "limit", "missed-change"}
 	kind := kinds[r.random.IntN(len(kinds))]
 	r.plan = append(r.plan, fmt.Sprintf("%s %s for %v", kind, h.ip, duration))
 	switch kind {
@@ -161,6 +172,15 @@
 		wg.Go(func() { time.Sleep(duration); r.store.Fail(0) })
 	case "configure":
 		r.switchRoute()
+	case "missed-change":
+		r.store.PauseWatches()
+		r.switchRoute()
+		wg.Go(func() { time.Sleep(duration / 3); r.store.ForgetHistory() })
+	case "limit":
+		p := &pacedTarget{limit: float64(5 + r.random.IntN(40))}
+		r.paces = append(r.paces, p)
+		h.setTargetHandler(func(w http.ResponseWriter, q *http.Request) { p.serve(h, w, q) })
+		wg.Go(func() { time.Sleep(duration + time.Second); h.setTargetHandler(h.serveEcho) })
 	case "lose":
 		h.setTargetHandler(func(w http.ResponseWriter, _ *http.Request) { panic(http.ErrAbortHandler) })
 		wg.Go(func() { time.Sleep(duration); h.setTargetHandler(h.serveEcho) })
@@ -176,6 +196,31 @@
 	}
 }
 
+func (p *pacedTarget) serve(h *host, w http.ResponseWriter, q *http.Request) {
+	p.mu.Lock()
+	p.arrivals = append(p.arrivals, time.Now())
+	p.mu.Unlock()
+	w.Header().Set("Server-Limit", strconv.FormatFloat(p.limit, 'f', 1, 64))
+	h.serveEcho(w, q)
+}
+
+// check checks that from the learning time on no window has more requests than the limit allows, and than a node that is
+// started beside the target sends before the first response.
+func (p *pacedTarget) check(t *testing.T, restarts int) {
+	const learning, window, beforeResponse = 500 * time.Millisecond, time.Second, 8
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	most := 0
+	for i, from := range p.arrivals {
+		if from.Sub(p.arrivals[0]) >= learning {
+			end, _ := slices.BinarySearchFunc(p.arrivals, from.Add(window), time.Time.Compare)
+			most = max(most, end-i)
+		}
+	}
+	allowed := 1.5*p.limit*window.Seconds() + 5 + float64(beforeResponse*restarts)
+	assert.Check(t, float64(most) <= allowed, "%d requests in %v at a limit of %v; %d restarts", most, window, p.limit, restarts)
+}
+
 // injectLinkFault injects a fault into the connections of a node to its target or to the store.
 func injectLinkFault(wg *sync.WaitGroup, p *proxy, kind string, duration time.Duration) {
 	switch kind {
@@ -232,7 +277,7 @@
 }
 
 // checkResponses compares the responses that clients got with what the targets ran.
-func (r *soakRun) checkResponses() {
+func (r *soakRun) checkResponses(t *testing.T) {
 	statuses := map[int]int{}
 	for _, s := range r.history {
 		statuses[s.status]++
@@ -251,6 +296,10 @@
 		}
 	}
 	r.t.Logf("%d requests, by status %v", len(r.history), statuses)
+	restarts := strings.Count(strings.Join(r.plan, ";"), "kill ") + strings.Count(strings.Join(r.plan, ";"), "term ")
+	for _, p := range r.paces {
+		p.check(t, restarts)
+	}
 }
 
 // awaitAllServing waits until all nodes serve both routes.
@@ -299,7 +348,7 @@
 	r.awaitAllServing()
 	close(done)
 	clients.Wait()
-	r.checkResponses()
+	r.checkResponses(t)
 	r.checkConfigFollowed()
 }
 
