io/httpdrain: a stopped listener reports net.ErrClosed

What operators would see: MM104 server-failed, "accept4: invalid argument", at each planned stop. The tests check the error of Serve now; without the change they fail with that text.

--- a/io/httpdrain/httpdrain_test.go
+++ b/io/httpdrain/httpdrain_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -21,13 +22,19 @@
 	return serve(t, &http.Server{Handler: h})
 }
 
+// serve checks that Serve ends with an error by which the caller sees that the server was stopped.
 func serve(t *testing.T, server *http.Server) (*httpdrain.Server, string) {
 	t.Helper()
 	s := httpdrain.New(server)
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
-	go func() { _ = s.Serve(l) }()
-	t.Cleanup(func() { _ = s.Close() })
+	ended := make(chan error)
+	go func() { ended <- s.Serve(l) }()
+	t.Cleanup(func() {
+		_ = s.Close()
+		err := <-ended
+		assert.Check(t, errors.Is(err, net.ErrClosed) || errors.Is(err, http.ErrServerClosed), "%v", err)
+	})
 	return s, l.Addr().String()
 }
 
--- a/io/httpdrain/listener.go
+++ b/io/httpdrain/listener.go
@@ -15,10 +15,11 @@
 	*net.TCPListener
 
 	mu     sync.Mutex
+	closed bool
 	queued []net.Conn // accepted while closing
 }
 
-// Accept returns the next connection. After Close it returns those that were in the queue, and then an error.
+// Accept returns the next connection. After Close it returns those that were in the queue, and then net.ErrClosed.
 func (l *listener) Accept() (net.Conn, error) {
 	c, err := l.TCPListener.Accept()
 	if err == nil {
@@ -26,8 +27,11 @@
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if len(l.queued) == 0 {
+	switch {
+	case !l.closed:
 		return nil, err
+	case len(l.queued) == 0:
+		return nil, net.ErrClosed
 	}
 	c = l.queued[0]
 	l.queued = l.queued[1:]
@@ -38,6 +42,10 @@
 func (l *listener) Close() error {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if l.closed {
+		return net.ErrClosed
+	}
+	l.closed = true
 	raw, err := l.SyscallConn()
 	if err != nil {
 		return errors.Wrap(err, "listener")
