--- a/core/admission/admission.go
+++ b/core/admission/admission.go
@@ -94,7 +94,7 @@
 	slots       int
 	running     int
 	limiter     pace.Limiter
-	unknown     bool // the target has not responded yet
+	noResponse  bool // the target has not responded yet
 	queue       queue
 	sequence    uint64
 	serviceTime time.Duration
@@ -125,7 +125,7 @@
 func (c *Controller) TargetReplaced() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.limiter, c.unknown = pace.Limiter{}, true
+	c.limiter, c.noResponse = pace.Limiter{}, true
 }
 
 // TargetResponded records a response of the target. If named, it limits the rate of requests to limit per second;
@@ -133,12 +133,20 @@
 func (c *Controller) TargetResponded(now time.Time, limit float64, named bool) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.unknown = false
+	c.noResponse = false
 	changed := c.limiter.Observe(now, limit, named)
 	c.startNext(now)
 	return changed
 }
 
+// RateLimit returns the limit in requests per second that the target has named; 0 for none.
+func (c *Controller) RateLimit() float64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	limit, _ := c.limiter.Limit()
+	return limit
+}
+
 // TargetRestarted raises the estimated service time, because a target is slow at the start of a new lifetime.
 func (c *Controller) TargetRestarted() {
 	c.mu.Lock()
@@ -175,7 +183,7 @@
 
 // usableSlots returns the number of requests that may run concurrently.
 func (c *Controller) usableSlots() int {
-	if c.unknown {
+	if c.noResponse {
 		return min(c.slots, firstSlots)
 	}
 	return c.slots
--- a/io/decisions/decisions.go
+++ b/io/decisions/decisions.go
@@ -7,11 +7,9 @@
 import (
 	"bytes"
 	"fmt"
-	"math"
 	"net/http"
 	"strconv"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -62,8 +60,6 @@
 
 	answered, failed, rejected, offered, served, callsRejected, ended, panicked, library, notices lineLimiter
 
-	rateLimit atomic.Uint64 // bits of the float64
-
 	latency, wait, run               *metrics.PrometheusHistogram
 	linesLimited                     *metrics.Counter
 	offers, callRejections, failures countersByKind
@@ -105,7 +101,7 @@
 // hostDown when a host can no longer be reached, targetLost when the target on this host accepts no connections or has
 // been replaced, and leaving when the target has stated that it is shutting down.
 func New(l *eventlog.Log, set *metrics.Set, newerConfig func(string, uint64), hostDown, targetLost func(string, error), leaving func(string)) *Recorder {
-	r := &Recorder{
+	return &Recorder{
 		log: l, set: set, newerConfig: newerConfig, hostDown: hostDown, targetLost: targetLost, leaving: leaving,
 		latency:      set.NewPrometheusHistogramExt("mustardmast_request_duration_seconds", telemetry.LatencyBuckets),
 		wait:         set.NewPrometheusHistogramExt("mustardmast_slot_wait_seconds", telemetry.LatencyBuckets),
@@ -121,8 +117,6 @@
 			return set.NewCounter(fmt.Sprintf("mustardmast_target_failures_total{error=%q}", k))
 		}),
 	}
-	set.NewGauge("mustardmast_target_rate_limit", func() float64 { return math.Float64frombits(r.rateLimit.Load()) })
-	return r
 }
 
 // allowLine reports whether a line may be written, and counts the lines that may not. Callers create the fields of a
@@ -234,7 +228,6 @@
 
 // RateLimitChanged implements localtarget.Observer.
 func (r *Recorder) RateLimitChanged(id string, limit float64) {
-	r.rateLimit.Store(math.Float64bits(limit))
 	if r.allowLine(&r.notices, maxServedLinesPerSecond) {
 		r.log.Write(eventlog.TargetLimited, zap.String("target", id), zap.Float64("limit", limit))
 	}
--- a/node/node.go
+++ b/node/node.go
@@ -131,6 +131,7 @@
 		RunningCalls: n.runningCalls, SubCallLevels: subCallLevels, Meter: o.Meter, Draining: n.drainingError,
 	}).Mount(n.callerMux)
 	peer.NewServer(o.Timers, n.executor, n.dispatcher).Mount(n.peerMux)
+	n.callers, n.peers = httpdrain.New(n.newServer(n.callerMux)), n.newServer(n.peerMux)
 	n.local.Watch(n.targetChanged)
 	return n
 }
@@ -173,7 +174,6 @@
 
 // Start serves callers and other nodes on the listeners.
 func (n *Node) Start(callers, peers net.Listener) {
-	n.callers, n.peers = httpdrain.New(n.newServer(n.callerMux)), n.newServer(n.peerMux)
 	go n.serve(n.callers, callers)
 	go n.serve(n.peers, peers)
 	n.tick(n.options.Timers.Now())
--- a/sidecar/providers.go
+++ b/sidecar/providers.go
@@ -62,6 +62,12 @@
 
 func newTracker(s platform.Settings) *lifetime.Tracker { return lifetime.New(s.TargetAddress()) }
 
+func newController(set *metrics.Set) *admission.Controller {
+	c := admission.New()
+	set.NewGauge("mustardmast_target_rate_limit", c.RateLimit)
+	return c
+}
+
 func newPool(s platform.Settings, set *metrics.Set) *targetconn.Pool {
 	return targetconn.New(s.TargetAddress().String(), platform.Headers(), set.NewCounter("mustardmast_target_connections_total").Inc)
 }
--- a/sidecar/wire.go
+++ b/sidecar/wire.go
@@ -7,7 +7,6 @@
 	"github.com/google/wire"
 
 	"mustardmast"
-	"mustardmast/core/admission"
 	"mustardmast/core/pressure"
 	"mustardmast/core/rejections"
 	"mustardmast/io/fleet"
@@ -18,7 +17,7 @@
 // build constructs a sidecar with the settings in a file.
 func build(f settingsFile) (*Sidecar, error) {
 	wire.Build(
-		newSettings, newLiveSettings, metrics.NewSet, newSink, newLog, tick.New, newTracker, admission.New, newPool, newPeerClient, newRoster, newStore,
+		newSettings, newLiveSettings, metrics.NewSet, newSink, newLog, tick.New, newTracker, newController, newPool, newPeerClient, newRoster, newStore,
 		newFleet, newTargetReporter, newRecorder, newExecutor, pressure.New, newRetryBudget, rejections.New, newPlacer, newIngress, newSidecar,
 		wire.Bind(new(mustardmast.Timers), new(*tick.Service)), wire.Bind(new(fleet.Store), new(*platform.Store)),
 	)
--- a/sidecar/wire_gen.go
+++ b/sidecar/wire_gen.go
@@ -8,7 +8,6 @@
 
 import (
 	"github.com/VictoriaMetrics/metrics"
-	"mustardmast/core/admission"
 	"mustardmast/core/pressure"
 	"mustardmast/core/rejections"
 	"mustardmast/io/tick"
@@ -24,8 +23,8 @@
 	}
 	sidecarLiveSettings := newLiveSettings(settings)
 	tracker := newTracker(settings)
-	controller := admission.New()
 	set := metrics.NewSet()
+	controller := newController(set)
 	pool := newPool(settings, set)
 	sink := newSink(set)
 	log := newLog(sink)
