core/dissemination: a pull that does not end holds no others

Cause: a node in the cut domain hears datagrams of the other domain but does not reach it. It pulled from a member there, which ended after the call timeout of 5 s, and no other pull was started meanwhile. Two such pulls take longer than the bound.

Change: while a pull does not end, another one is started from another source every 0.5 s, up to four at a time.

--- a/cmd/capacity/fleet.go
+++ b/cmd/capacity/fleet.go
@@ -135,7 +135,7 @@
 		from.SentBytes += cost
 		sim.install(p.n, sim.generations[from])
 	}
-	sim.applyOutput(p.n, sim.Now(), sim.disseminators[p.n].Pulled(sim.Now()))
+	sim.applyOutput(p.n, sim.Now(), sim.disseminators[p.n].Pulled(sim.Now(), p.from))
 }
 
 // runUntil advances virtual time until done, which is checked every 100 ms, returns true or the limit is reached. It
--- a/core/dissemination/dissemination_test.go
+++ b/core/dissemination/dissemination_test.go
@@ -85,7 +85,7 @@
 			if n.rng.Float64() >= n.loss {
 				n.install(i, n.installed[from], now)
 			}
-			n.perform(i, n.nodes[i].Pulled(now))
+			n.perform(i, n.nodes[i].Pulled(now, out.Pull))
 		})
 	}
 	for range out.Notify {
@@ -155,6 +155,24 @@
 	assert.Assert(t, naive > 8*time.Second, "the baseline without notifications is fast enough: %v", naive)
 }
 
+// Guards against a change that is not in force for seconds, because the node pulls it through a cut from a member that it can
+// hear and that can't hear it, although other members have it too.
+func TestPullThatDoesNotEndDoesNotHoldOthers(t *testing.T) {
+	d := dissemination.New()
+	at := func(after time.Duration) time.Time { return start.Add(after) }
+	assert.Equal(t, d.Learned(at(0), 2, 1).Pull, mustardmast.NodeID(1)) // does not end
+	assert.Equal(t, d.Learned(at(100*time.Millisecond), 2, 2).Pull, mustardmast.NodeID(0))
+	assert.Equal(t, d.Learned(at(200*time.Millisecond), 2, 1).Pull, mustardmast.NodeID(0))
+	assert.Equal(t, d.Tick(at(400*time.Millisecond)).Pull, mustardmast.NodeID(0))
+	assert.Equal(t, d.Tick(at(500*time.Millisecond)).Pull, mustardmast.NodeID(2)) // does not end either
+	assert.Equal(t, d.Learned(at(1100*time.Millisecond), 2, 3).Pull, mustardmast.NodeID(3))
+	d.Installed(at(1200*time.Millisecond), 2)
+	for id := range mustardmast.NodeID(3) {
+		assert.Equal(t, d.Pulled(at(5*time.Second), id+1).Pull, mustardmast.NodeID(0))
+	}
+	assert.Equal(t, d.Learned(at(6*time.Second), 3, 1).Pull, mustardmast.NodeID(1))
+}
+
 // Guards against a pull for each of many changes in quick succession.
 func TestManyChangesAreCoalesced(t *testing.T) {
 	net := newNetwork(2, 500)
--- a/io/control/configure.go
+++ b/io/control/configure.go
@@ -60,7 +60,7 @@
 		c.goRun(func() {
 			c.pullFrom(out.Pull)
 			now := c.s.Timers.Now()
-			c.applyDissemination(now, c.disseminator.Pulled(now))
+			c.applyDissemination(now, c.disseminator.Pulled(now, out.Pull))
 		})
 	}
 }
