core/member: the record of a member that a packet of it has overtaken

Cause: each packet carries the state and counter of its sender as a brief update. A node that starts is joining, without a service, and becomes ready with one. If a packet arrived before the full record, the view had a ready member without a service, at the counter of the full record, which therefore no longer superseded it. The hashes of a sync were equal, and the node passed the incomplete record on as a full one.

Change: a ready member without a service counts as incomplete. Its full record with the same counter is taken, it is sent on as a brief update only, its hash differs, and a sync is requested as for unknown members.

Evidence: TestServiceOfMemberWhosePacketOvertakesItsRecord fails without the change.

Open: a change of slots, or from one service to another, that only its brief update has reached is still missed until the member's next full record, as the counter does not tell that there is one.

The tests with processes keep 60 lines of each log instead of 8.

--- a/core/member/record.go
+++ b/core/member/record.go
@@ -69,10 +69,16 @@
 	}
 }
 
+// incomplete reports whether this node has received only a brief update of the record of a ready member, not the full
+// record with its service. Packets carry the state and counter of their sender, and may overtake its full record.
+func (r *record) incomplete() bool { return r.declared == mustardmast.Ready && r.member.Service == "" }
+
 func (r *record) gone() bool { return r.declared == mustardmast.Left || r.liveness == Faulty }
 
-// update returns the record as it is sent to other nodes.
+// update returns the record as it is sent to other nodes. An incomplete record is always sent as a brief update, since it
+// would supersede the complete one.
 func (r *record) update(brief bool) Update {
+	brief = brief || r.incomplete()
 	u := Update{Member: *r.member, Liveness: r.liveness, Started: r.started, Brief: brief}
 	u.Member.State = r.declared
 	if r.localOnly {
@@ -95,6 +101,9 @@
 	if r.liveness == Faulty && !r.localOnly {
 		x ^= 0xd6e8feb86659fd93
 	}
+	if r.incomplete() {
+		x ^= 0xbf58476d1ce4e5b9
+	}
 	x ^= x >> 32
 	x *= 0xd6e8feb86659fd93
 	x ^= x >> 32
@@ -117,13 +126,37 @@
 		m.queue.add(r, false)
 		return true
 	}
+	completed := m.complete(r, u)
 	if !r.supersededBy(u) {
-		return false
+		return completed
 	}
 	m.replace(at, r, u)
+	if r.incomplete() {
+		m.syncSoon(at)
+	}
 	return true
 }
 
+// complete takes the service and the slots of an incomplete record from the full record with the same counter, which
+// does not supersede it.
+func (m *Members) complete(r *record, u Update) bool {
+	if !r.incomplete() || u.Brief || u.Member.Service == "" || u.Member.RefutationCounter != r.member.RefutationCounter {
+		return false
+	}
+	m.edit(r, func() {
+		c := *r.member
+		c.Service, c.Slots = m.intern(u.Member.Service), u.Member.Slots
+		r.started, r.member = u.Started, &c
+	})
+	m.queue.add(r, true)
+	return true
+}
+
+// syncSoon requests a sync because this node has missed a full record.
+func (m *Members) syncSoon(at time.Duration) {
+	m.syncAt = min(m.syncAt, max(at+ProbePeriod, m.syncedAt+unknownMemberSyncDelay))
+}
+
 // edit changes a record and updates the hashes, counters and directory that are derived from it.
 func (m *Members) edit(r *record, change func()) {
 	m.hashes[hashBucket(r.member.ID)] ^= r.hash()
@@ -209,7 +242,7 @@
 	if u.Brief && u.Liveness == Alive && u.Member.State <= mustardmast.Ready {
 		// This node has missed the full record of a live member. Brief updates about departing members are no reason
 		// for a sync: they are often late updates about an incarnation that is already superseded.
-		m.syncAt = min(m.syncAt, max(at+ProbePeriod, m.syncedAt+unknownMemberSyncDelay))
+		m.syncSoon(at)
 	}
 	if u.Brief || u.Member.State == mustardmast.Left || !valid(u.Member) {
 		return false
--- a/core/member/record_test.go
+++ b/core/member/record_test.go
@@ -65,6 +65,33 @@
 	})
 }
 
+// Guards against a ready member that gets no calls for ever, because a packet of it, which carries its state and counter, has
+// overtaken the record with its service.
+func TestServiceOfMemberWhosePacketOvertakesItsRecord(t *testing.T) {
+	joining := member.Update{Member: fleet.Member(10, 4)}
+	joining.Member.ID, joining.Member.Service, joining.Member.Slots, joining.Member.State = 100, "", 0, mustardmast.Joining
+	ready := joining
+	ready.Member.State, ready.Member.RefutationCounter = mustardmast.Ready, 1
+	brief := ready
+	brief.Brief = true
+	ready.Member.Service, ready.Member.Slots = "socket-board", 30
+	v, complete := view(1, 0), view(1, 0)
+	complete.Merge(epoch, []member.Update{joining, ready})
+	v.Merge(epoch, []member.Update{joining, brief})
+	assert.Equal(t, len(v.Serving("socket-board")), 0)
+	assert.Assert(t, !reflect.DeepEqual(v.Hashes(), complete.Hashes()), "a sync would not find the missing record")
+	page, _ := v.Page(member.SyncRequest{MaxBytes: 1 << 20})
+	other := view(1, 0)
+	other.Merge(epoch, []member.Update{joining})
+	other.Merge(epoch, page)
+	for _, m := range []*member.Members{v, other} {
+		m.Merge(epoch, []member.Update{ready})
+		got := m.Serving("socket-board")
+		assert.Assert(t, len(got) == 1 && got[0].Slots == 30, "%v", got)
+		assert.DeepEqual(t, m.Hashes(), complete.Hashes())
+	}
+}
+
 // Guards against unbounded growth of the member table, and against evicting a live member for a new one.
 func TestTableIsBounded(t *testing.T) {
 	m := view(1, 10)
--- a/internal/deploy/faults_test.go
+++ b/internal/deploy/faults_test.go
@@ -25,7 +25,10 @@
 	"mustardmast/io/target/stub"
 )
 
-const seed = 20261204 // of the callers' random choices
+const (
+	seed         = 20261204 // of the callers' random choices
+	logTailLines = 60
+)
 
 var bin string
 
@@ -89,7 +92,7 @@
 	for _, h := range w.d.Hosts() {
 		b, _ := os.ReadFile(filepath.Join(w.dir, h.Name+".log"))
 		lines := strings.Split(string(b), "\n")
-		w.t.Logf("%s\n%s", h.Name, strings.Join(lines[max(0, len(lines)-8):], "\n"))
+		w.t.Logf("%s\n%s", h.Name, strings.Join(lines[max(0, len(lines)-logTailLines):], "\n"))
 	}
 }
 
