core/member: a starting node exchanges records soon

Cause, from the node's log: it had learned of two members, those that had sent it something, and of no others for the rest of the test. A starting node exchanges records with the seed that acks its ping, and pings seeds only while it knows no member. If that ack is late or the exchange fails, and another member has sent its record meanwhile, the next exchange follows at a random time within a minute, or after 15 s.

Change: until an exchange has reached its last page, one is requested 2 s after a member is learned of, and 5 s after one that failed. MM307 logs an exchange that fails, which no log showed.

Which of the two, the late ack or the failed exchange, it was in the log above is not known.

--- a/core/member/members.go
+++ b/core/member/members.go
@@ -44,7 +44,8 @@
 	recoveryPeriod         = time.Minute // how long faulty members are probed more often after one of them answered
 	syncInterval           = time.Minute
 	unknownMemberSyncDelay = 15 * time.Second // between syncs that unknown members cause, and after a rejected one
-	syncRetryDelay         = 5 * time.Second  // after a sync that the budget ended early
+	syncRetryDelay         = 5 * time.Second  // after a sync that the budget ended early, or a failed first one
+	joinSyncDelay          = 2 * time.Second  // from the first member that a starting node learns of
 	reapInterval           = 10 * time.Second
 	pauseThreshold         = 3 * time.Second // a longer gap between ticks means that this process was paused
 	urgentFanout           = 4
@@ -118,6 +119,7 @@
 	recoveryUntil time.Duration
 	syncAt        time.Duration
 	syncedAt      time.Duration
+	synced        bool // an exchange has reached its last page
 	reapAt        time.Duration
 	introduceAt   time.Duration // earliest time of the next packet sent only to exchange full records
 
--- a/core/member/record.go
+++ b/core/member/record.go
@@ -261,6 +261,11 @@
 		m.rejected++
 		return false
 	}
+	if !m.synced && at > 0 {
+		// The first exchange of a starting node follows the ack of a seed. It needs another one if that ack is lost, as
+		// seeds are probed only while no member is known.
+		m.syncAt = min(m.syncAt, at+joinSyncDelay)
+	}
 	c := u.Member
 	c.FailureDomain, c.Region, c.Service = m.intern(c.FailureDomain), m.intern(c.Region), m.intern(c.Service)
 	r := &record{member: &c, declared: u.Member.State, started: u.Started, changedAt: at}
--- a/core/member/record_test.go
+++ b/core/member/record_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"net/netip"
 	"reflect"
 	"testing"
 	"time"
@@ -92,6 +93,39 @@
 	}
 }
 
+// Guards against a starting node that knows only the members that have sent it something, for up to a minute, because the ack
+// of a seed was lost or the first exchange failed.
+func TestStartingNodeExchangesRecordsSoon(t *testing.T) {
+	m := fleet.Member(1, 4)
+	m.ID = 2
+	v := member.New(epoch, member.Settings{Self: m, Seeds: []netip.AddrPort{fleet.Member(5, 4).Address}}, rand.New(rand.NewPCG(1, 1)))
+	other := fleet.Member(10, 4)
+	other.ID = 100
+	requested := func(from, to time.Duration) time.Duration { // the other member acks pings meanwhile
+		for d := from; d < to; d += 100 * time.Millisecond {
+			out := v.Tick(epoch.Add(d))
+			for _, p := range out.Packets {
+				if p.To == other.Address && p.Packet.Kind == member.Ping {
+					v.Receive(epoch.Add(d), other.Address, member.Packet{Kind: member.Ack, From: other.ID, To: m.ID, Sequence: p.Packet.Sequence, State: other.State}, 100)
+				}
+			}
+			if len(out.SyncPeers) > 0 {
+				return d
+			}
+		}
+		return to
+	}
+	v.Receive(epoch.Add(time.Second), other.Address, member.Packet{Kind: member.Ping, From: other.ID, To: m.ID, Updates: []member.Update{{Member: other}}}, 100)
+	first := requested(time.Second, time.Minute)
+	assert.Assert(t, first <= 4*time.Second, "%v", first)
+	v.SyncInterrupted(epoch.Add(first), true)
+	second := requested(first+100*time.Millisecond, time.Minute)
+	assert.Assert(t, second <= first+6*time.Second, "%v after %v", second, first)
+	v.SyncCompleted()
+	third := requested(second+100*time.Millisecond, 10*time.Minute)
+	assert.Assert(t, third > second+30*time.Second, "%v after %v", third, second)
+}
+
 // Guards against unbounded growth of the member table, and against evicting a live member for a new one.
 func TestTableIsBounded(t *testing.T) {
 	m := view(1, 10)
--- a/core/member/sync.go
+++ b/core/member/sync.go
@@ -96,8 +96,15 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	delay := syncRetryDelay
-	if rejected {
+	if rejected && m.synced {
 		delay = unknownMemberSyncDelay
 	}
 	m.syncAt = min(m.syncAt, now.Sub(m.start)+delay)
 }
+
+// SyncCompleted records that an exchange has reached its last page.
+func (m *Members) SyncCompleted() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.synced = true
+}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -250,6 +250,7 @@
 		to.SentBytes += cost
 		f.Apply(n, n.Merge(f.now, updates))
 		if next == 0 {
+			n.SyncCompleted()
 			return
 		}
 		request.Cursor = next
--- a/io/control/client.go
+++ b/io/control/client.go
@@ -9,11 +9,14 @@
 	"strings"
 	"time"
 
+	"go.uber.org/zap"
+
 	"mustardmast"
 	"mustardmast/core/fault"
 	"mustardmast/core/member"
 	"mustardmast/core/quarantine"
 	"mustardmast/io/control/controlv1"
+	"mustardmast/io/eventlog"
 )
 
 const (
@@ -145,6 +148,9 @@
 		resp, err := c.client.to(peers[page%len(peers)].Address).Sync(ctx, req)
 		cancel()
 		if err != nil {
+			if c.ctx.Err() == nil {
+				c.s.Log.Write(eventlog.MemberSyncFailed, zap.Stringer("with", peers[page%len(peers)].Address), zap.Int("page", page), zap.Error(err))
+			}
 			c.members.SyncInterrupted(now, true)
 			return
 		}
@@ -152,6 +158,7 @@
 		c.applyMembership(c.members.Merge(c.s.Timers.Now(), decodeUpdates(resp.Members)))
 		c.meter.recordBusy(start)
 		if resp.NextCursor == 0 {
+			c.members.SyncCompleted()
 			return
 		}
 		req.Cursor = resp.NextCursor
--- a/io/eventlog/eventlog.go
+++ b/io/eventlog/eventlog.go
@@ -40,6 +40,7 @@
 	HostChanged            Event = 304
 	HostLeft               Event = 305
 	HostEntryUnreadable    Event = 306
+	MemberSyncFailed       Event = 307
 	ConfigInstalled        Event = 400
 	ConfigOlder            Event = 401
 	ConfigDiffers          Event = 402
@@ -95,6 +96,7 @@
 	HostChanged:            {zapcore.InfoLevel, "host-changed", "a host is new, or its address, service or readiness has changed"},
 	HostLeft:               {zapcore.InfoLevel, "host-left", "a host has left for good"},
 	HostEntryUnreadable:    {zapcore.WarnLevel, "host-entry-unreadable", "an entry of a host in the platform cannot be read; it is ignored"},
+	MemberSyncFailed:       {zapcore.InfoLevel, "member-sync-failed", "an exchange of member records failed; another one follows within seconds"},
 	ConfigInstalled:        {zapcore.InfoLevel, "config-installed", "a newer generation of the configuration is in force"},
 	ConfigOlder:            {zapcore.ErrorLevel, "config-older", "the platform or a peer shows a lower generation than the one in force; it was not installed"},
 	ConfigDiffers:          {zapcore.ErrorLevel, "config-differs", "another text has the generation in force; it was not installed"},
