core/lifetime, io/localtarget: the response to a call that was sent before the first announcement

A node that starts beside a running target knows it from the health path at first, without the time of its start. A call that was sent then and answered after the first announcement was taken for a call to another lifetime: the start differed, 0 against the announced one. The limit or the leaving that the response stated was not applied, so callers could be sent to a leaving target, or beyond its limit, until the next response.

A target that was only assumed is now recognised by its ID, unless the announced start is later than the call. The same check serves the limit and the leaving.

TestNoticeOfCallSentBeforeFirstAnnouncement fails on (limit 0, expected 3) and passes with the change; TestResponseToCallSentToAssumedLifetime has the same ID started again.

--- a/core/lifetime/lifetime.go
+++ b/core/lifetime/lifetime.go
@@ -42,6 +42,7 @@
 	Slots       int
 	State       State
 	StartedMS   int64 // Unix milliseconds of the start; 0 if not announced
+	Assumed     bool  // known from a response only, so its start is not known
 }
 
 // Tracker holds the current lifetime. Its methods may be called concurrently.
@@ -125,17 +126,34 @@
 	starts[id] = max(start, starts[id])
 }
 
-// MarkLeaving records that a response of a lifetime has stated that it shuts down. Later announcements do not make it
-// ready again. It returns false if that changes nothing.
-func (t *Tracker) MarkLeaving(now time.Time, lifetime Target) bool {
+// IsCurrent reports whether a call that was sent to a lifetime went to the current one. Lifetime is what Target returned
+// before the call was sent.
+func (t *Tracker) IsCurrent(sent time.Time, lifetime Target) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.latest.ID != lifetime.ID || t.latest.StartedMS != lifetime.StartedMS {
-		return false // another lifetime has taken over since
+	return t.isCurrent(sent, lifetime)
+}
+
+func (t *Tracker) isCurrent(sent time.Time, lifetime Target) bool {
+	if t.latest.ID != lifetime.ID {
+		return false
+	}
+	// The first announcement names the start of a lifetime that was assumed until then.
+	return t.latest.StartedMS == lifetime.StartedMS || lifetime.Assumed && t.latest.StartedMS <= sent.UnixMilli()
+}
+
+// MarkLeaving records that the response to a call has stated that its lifetime shuts down. Lifetime is what Target
+// returned before the call was sent. Later announcements do not make it ready again. MarkLeaving returns false if it
+// changes nothing.
+func (t *Tracker) MarkLeaving(sent time.Time, lifetime Target) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if !t.isCurrent(sent, lifetime) {
+		return false
 	}
-	start := lifetime.StartedMS
+	start := t.latest.StartedMS
 	if start == 0 {
-		start = now.UnixMilli() // it started before that
+		start = sent.UnixMilli() // it started before that
 	}
 	remember(t.leaving, lifetime.ID, start)
 	if t.state != Ready {
@@ -177,5 +195,5 @@
 func (t *Tracker) Target() Target {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return Target{ID: t.latest.ID, Service: t.latest.Service, Slots: t.latest.Slots, State: t.state, StartedMS: t.latest.StartedMS}
+	return Target{ID: t.latest.ID, Service: t.latest.Service, Slots: t.latest.Slots, State: t.state, StartedMS: t.latest.StartedMS, Assumed: t.assumed}
 }
--- a/core/lifetime/lifetime_test.go
+++ b/core/lifetime/lifetime_test.go
@@ -136,3 +136,19 @@
 		assertState(t, l, "a", lifetime.Ready)
 	}
 }
+
+// Guards against a response that is taken for that of another lifetime because the target has announced itself since the
+// call was sent, and against one of an earlier start under the same ID that is not.
+func TestResponseToCallSentToAssumedLifetime(t *testing.T) {
+	for started, current := range map[int64]bool{1000: true, 0: true, 6000: false} {
+		l := lifetime.New(address)
+		assert.Assert(t, l.Assume("a", "watch", 30))
+		before, sent := l.Target(), time.UnixMilli(5000)
+		assert.Assert(t, l.Announce(announcement("a", started, 1)))
+		assert.Equal(t, l.IsCurrent(sent, before), current)
+		assert.Equal(t, l.MarkLeaving(sent, before), current)
+		assert.Equal(t, l.Target().State == lifetime.Draining, current)
+		assert.Assert(t, l.Announce(announcement("b", 7000, 1)))
+		assert.Assert(t, !l.IsCurrent(sent, before), "another lifetime")
+	}
+}
--- a/io/localtarget/localtarget.go
+++ b/io/localtarget/localtarget.go
@@ -193,7 +193,7 @@
 	}
 	reply, header, err := e.pool.Do(runCtx, c, t.ID, c.Deadline)
 	if header != nil {
-		e.handleNotice(t, header)
+		e.handleNotice(began, t, header)
 	}
 	if err != nil {
 		cancel()
@@ -257,20 +257,19 @@
 	e.startWaiting()
 }
 
-// handleNotice applies what a response of a lifetime states about it.
-func (e *Executor) handleNotice(t lifetime.Target, h http.Header) {
+// handleNotice applies what the response to a call states about the lifetime that the call was sent to.
+func (e *Executor) handleNotice(sent time.Time, t lifetime.Target, h http.Header) {
 	n, err := e.notice(h)
 	if err != nil {
 		e.observer.NoticeMalformed(t.ID, err)
 	}
-	now := time.Now()
-	if n.Leaving && e.tracker.MarkLeaving(now, t) {
+	if n.Leaving && e.tracker.MarkLeaving(sent, t) {
 		e.observer.TargetLeaving(t.ID)
 	}
-	if current := e.tracker.Target(); current.ID != t.ID || current.StartedMS != t.StartedMS {
+	if !e.tracker.IsCurrent(sent, t) {
 		return
 	}
-	if e.controller.TargetResponded(now, n.RateLimit, n.Limited) {
+	if e.controller.TargetResponded(time.Now(), n.RateLimit, n.Limited) {
 		e.observer.RateLimitChanged(t.ID, n.RateLimit)
 	}
 	e.startWaiting()
--- a/io/localtarget/localtarget_test.go
+++ b/io/localtarget/localtarget_test.go
@@ -45,8 +45,17 @@
 	runs []string
 }
 
-// newFixture returns an executor whose target responds by respond; nil stands for runs that release completes.
+// newFixture returns an executor whose target has announced itself and responds by respond; nil stands for runs that
+// release completes.
 func newFixture(t *testing.T, respond http.HandlerFunc) *fixture {
+	t.Helper()
+	f := newUnannouncedFixture(t, respond)
+	f.announce("i-1", 1000, false)
+	return f
+}
+
+// newUnannouncedFixture is newFixture with a target that has not announced itself.
+func newUnannouncedFixture(t *testing.T, respond http.HandlerFunc) *fixture {
 	t.Helper()
 	f := &fixture{release: make(chan struct{}, 100), controller: admission.New()}
 	if respond == nil {
@@ -61,7 +70,6 @@
 	t.Cleanup(s.Close)
 	f.address = netip.MustParseAddrPort(s.Listener.Addr().String())
 	f.tracker = lifetime.New(f.address)
-	f.announce("i-1", 1000, false)
 	f.controller.SetSlots(time.Now(), 1)
 	f.Executor = localtarget.New(localtarget.Options{
 		Tracker: f.tracker, Controller: f.controller, Pool: targetconn.New(f.address.String(), names, func() {}), Observer: nopObserver{},
@@ -309,6 +317,30 @@
 	}
 }
 
+// Guards against a limit or a leaving that is ignored because the target announced itself for the first time meanwhile.
+func TestNoticeOfCallSentBeforeFirstAnnouncement(t *testing.T) {
+	started := time.Now().UnixMilli()
+	running, release := make(chan struct{}), make(chan struct{})
+	f := newUnannouncedFixture(t, func(w http.ResponseWriter, r *http.Request) {
+		close(running)
+		<-release
+		w.Header().Set("Request-Id", r.Header.Get("Request-Id"))
+		w.Header().Set("Leaving", "1")
+		w.Header().Set("Limit", "3")
+	})
+	f.tracker.Assume("i-1", "watch", 20)
+	done := make(chan error, 1)
+	go func() { done <- f.run(context.Background(), call("a")) }()
+	<-running
+	f.announce("i-1", started, false)
+	close(release)
+	assert.NilError(t, <-done)
+	assert.Equal(t, f.controller.RateLimit(), 3.0)
+	assert.Equal(t, fault.KindOf(f.run(context.Background(), call("b"))), fault.Draining)
+	f.announce("i-1", started, false)
+	assert.Equal(t, fault.KindOf(f.run(context.Background(), call("c"))), fault.Draining)
+}
+
 // Guards against a limit or a leaving that is taken from the response of another lifetime at the target's address.
 func TestNoticeOfAnotherLifetimeIsIgnored(t *testing.T) {
 	f := newNoticeFixture(t, func(h http.Header) int {
