internal/freeport, daemon: a test's daemon could lose its port before it listened

The test asked the kernel for a port of the ephemeral range, closed it and had the daemon listen on it later. In between, the port could go to any listener on port 0 or outgoing connection of the test packages that run beside. What Daemon.Run returned was dropped, so the failure did not say so.

The test now reports the error of Run, and takes its addresses from below the ephemeral range, as internal/deploy does already; the function moved to internal/freeport for both. No other test releases a port before it is used.

--- a/daemon/daemon_test.go
+++ b/daemon/daemon_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"os"
@@ -16,6 +15,7 @@
 
 	"mustardmast/client"
 	"mustardmast/daemon"
+	"mustardmast/internal/freeport"
 	"mustardmast/io/platform"
 	pstub "mustardmast/io/platform/stub"
 	"mustardmast/io/settings"
@@ -33,9 +33,9 @@
 }
 
 type host struct {
-	caller, peer, admin string
-	target              *stub.Target
-	stop                func() error
+	name, caller, peer, admin string
+	target                    *stub.Target
+	stop                      func() error
 }
 
 func newFleet(t *testing.T) *fleet {
@@ -43,7 +43,9 @@
 	f := &fleet{t: t, stub: s, platform: httptest.NewServer(s)}
 	t.Cleanup(func() {
 		for _, h := range f.hosts {
-			_ = h.stop()
+			if err := h.stop(); err != nil {
+				t.Errorf("%s: %v", h.name, err)
+			}
 		}
 		f.platform.Close()
 	})
@@ -72,28 +74,18 @@
 	return string(b)
 }
 
-func addresses(t *testing.T, n int) []string {
-	var out []string
-	for range n {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		assert.NilError(t, err)
-		defer l.Close()
-		out = append(out, l.Addr().String())
-	}
-	return out
-}
-
 func (f *fleet) add(domain, service string, calls ...string) *host {
 	f.t.Helper()
-	addrs := addresses(f.t, 3)
-	h := &host{caller: addrs[0], peer: addrs[1], admin: addrs[2]}
+	addrs, err := freeport.Addresses("127.0.0.1", 3)
+	assert.NilError(f.t, err)
+	h := &host{name: fmt.Sprintf("%s-%d", service, len(f.hosts)), caller: addrs[0], peer: addrs[1], admin: addrs[2]}
 	seed := h.peer
 	if len(f.hosts) > 0 {
 		seed = f.hosts[0].peer
 	}
-	s, err := settings.Parse(fmt.Appendf(nil, `{"name":"%s-%d","failure-domain":"%s","caller-address":"%s","peer-address":"%s",
+	s, err := settings.Parse(fmt.Appendf(nil, `{"name":"%s","failure-domain":"%s","caller-address":"%s","peer-address":"%s",
 		"admin-address":"%s","platform-url":"%s","seeds":["%s"],"drain-timeout":"5s","log-level":"error"}`,
-		service, len(f.hosts), domain, h.caller, h.peer, h.admin, f.platform.URL, seed))
+		h.name, domain, h.caller, h.peer, h.admin, f.platform.URL, seed))
 	assert.NilError(f.t, err)
 	d, err := daemon.Build(s)
 	assert.NilError(f.t, err)
--- a/internal/deploy/deploy.go
+++ b/internal/deploy/deploy.go
@@ -18,6 +18,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"mustardmast/internal/freeport"
 )
 
 // Services lists the services of the call chain, the entry service first.
@@ -125,7 +127,7 @@
 func (d *Deployment) Platform() string { return d.platform }
 
 func (d *Deployment) add(domain Domain, service string) error {
-	ports, err := freePorts(domain.IP, 3)
+	ports, err := freeport.Addresses(domain.IP, 3)
 	if err != nil {
 		return err
 	}
--- a/internal/deploy/process.go
+++ b/internal/deploy/process.go
@@ -3,15 +3,11 @@
 import (
 	"bufio"
 	"io"
-	"math/rand/v2"
-	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
-	"strconv"
 	"strings"
 	"sync"
-	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -123,38 +119,6 @@
 	}
 }
 
-// Ports are taken from below the system's ephemeral range. A port of that range could be taken by an outgoing
-// connection or by a listener on port 0 before the node listens on it.
-const (
-	firstPort = 12_000
-	lastPort  = 32_000
-)
-
-var nextPort atomic.Int64
-
-// The first port is random, as other test processes allocate ports too.
-func init() { nextPort.Store(rand.Int64N(lastPort - firstPort)) }
-
-// freePorts returns n addresses on ip whose ports were free when they were checked. A port is not returned again before
-// all others of the range have been tried.
-func freePorts(ip string, n int) ([]string, error) {
-	var addrs []string
-	for range lastPort - firstPort {
-		a := net.JoinHostPort(ip, strconv.FormatInt(firstPort+nextPort.Add(1)%(lastPort-firstPort), 10))
-		l, err := net.Listen("tcp", a)
-		if err != nil {
-			continue
-		}
-		if err := l.Close(); err != nil {
-			return nil, errors.Wrap(err, "free port")
-		}
-		if addrs = append(addrs, a); len(addrs) == n {
-			return addrs, nil
-		}
-	}
-	return nil, errors.Errorf("fewer than %d free ports on %s", n, ip)
-}
-
 // listenAddress returns the address at the end of the line that a stub prints when it listens.
 func listenAddress(line string) string {
 	f := strings.Fields(line)
