io/control: a node that reports a crash gets the evidence of the others

The evidence about a crash goes to the nodes that are known to serve when it happens, and to nobody later but by gossip, which takes a second or more. So a node that became known after the others had sent theirs began at its own first crash: callers saw up to six targets crash for one request.

A node that reports a crash now gets the evidence of the others about the same requests in the response, and waits for it before it answers the calls that were lost. Its own first crash is then the last one that is not counted together. Nodes that have not met at all remain outside of the bound. The field is new in the response; nodes of before send none and ignore it.

TestCrashReportReturnsEvidenceOfOtherNodes has it without processes.

Ruled out by the runs: a request that completes at a restarted target before the test has made it crash (none completed), and a target that restarts at its address before the node looks (its port is a new one). Seen by reading, not in a run: a call that has passed the check of a reserved target and is not yet in the table of running calls can run beside a suspect.

--- a/daemon/providers.go
+++ b/daemon/providers.go
@@ -238,7 +238,7 @@
 	}
 }
 
-// crashNotifier implements execute.CrashNotifier. It sends the evidence of a crash to the other nodes of the service.
+// crashNotifier implements execute.CrashNotifier. It exchanges the evidence of a crash with the other nodes of the service.
 type crashNotifier struct{ control *control.Control }
 
 func (n crashNotifier) NotifyCrash(ctx context.Context, service string, updates []quarantine.Update) {
@@ -247,7 +247,7 @@
 		sends.Add(1)
 		go func() {
 			defer sends.Done()
-			_ = n.control.SendQuarantine(ctx, m, updates) // gossip repeats the updates for nodes that cannot be reached now
+			_ = n.control.ExchangeQuarantine(ctx, m, updates) // gossip repeats the updates for nodes that cannot be reached now
 		}()
 	}
 	sends.Wait()
--- a/io/control/client.go
+++ b/io/control/client.go
@@ -122,11 +122,16 @@
 	return OutcomeResponse{State: OutcomeState(resp.State), Status: int(resp.Status)}, nil
 }
 
-// SendQuarantine sends a member the quarantine updates about requests that crashed targets.
-func (c *Control) SendQuarantine(ctx context.Context, to mustardmast.Member, updates []quarantine.Update) error {
-	if _, err := c.client.to(to.Address).Quarantine(ctx, encodeQuarantineUpdates(updates)); err != nil {
+// ExchangeQuarantine sends a member the quarantine updates about requests that crashed targets, and merges the member's
+// evidence about the same requests.
+func (c *Control) ExchangeQuarantine(ctx context.Context, to mustardmast.Member, updates []quarantine.Update) error {
+	res, err := c.client.to(to.Address).Quarantine(ctx, &controlv1.QuarantineRequest{News: encodeQuarantineUpdates(updates)})
+	if err != nil {
 		return fault.Wrap(err, fault.PeerUnreachable, "send quarantine updates")
 	}
+	if c.s.Quarantine != nil {
+		c.s.Quarantine.Merge(c.s.Timers.Now(), decodeQuarantineUpdates(res.News))
+	}
 	return nil
 }
 
--- a/io/control/control_test.go
+++ b/io/control/control_test.go
@@ -19,6 +19,7 @@
 
 	"mustardmast"
 	"mustardmast/core/fault"
+	"mustardmast/core/quarantine"
 	"mustardmast/io/eventlog"
 )
 
@@ -136,10 +137,11 @@
 // testNode is a Control and the HTTP server of its peer address.
 type testNode struct {
 	*Control
-	server *http.Server
-	logs   *observer.ObservedLogs
-	mu     sync.Mutex
-	texts  []string
+	server     *http.Server
+	logs       *observer.ObservedLogs
+	quarantine *quarantine.Quarantine
+	mu         sync.Mutex
+	texts      []string
 }
 
 func startNode(t *testing.T, i int, p mustardmast.Platform, seeds ...netip.AddrPort) *testNode {
@@ -147,13 +149,15 @@
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
 	core, logs := observer.New(zap.ErrorLevel)
-	n := &testNode{logs: logs}
+	id := mustardmast.NodeID(rand.Uint64() | 1)
+	n := &testNode{logs: logs, quarantine: quarantine.New(id)}
 	n.Control, err = New(Settings{
 		Self: mustardmast.Member{
-			ID: mustardmast.NodeID(rand.Uint64() | 1), Name: fmt.Sprintf("host-%d", i), State: mustardmast.Ready,
+			ID: id, Name: fmt.Sprintf("host-%d", i), State: mustardmast.Ready,
 			Address: l.Addr().(*net.TCPAddr).AddrPort(), FailureDomain: "koper-a", Service: "plug-ledger", Slots: 10,
 		},
 		Seeds: seeds, Platform: p, Timers: wallTimers{}, Decode: decodeTestConfig, Outcomes: doneOutcomes{},
+		Quarantine: n.quarantine,
 		Install: func(_ uint64, _ string, text []byte) error {
 			n.mu.Lock()
 			defer n.mu.Unlock()
@@ -268,3 +272,20 @@
 		return len(second.Members().Serving("plug-ledger")) == 2 && len(first.Members().Serving("plug-ledger")) == 2
 	})
 }
+
+// Guards against a request that crashes as many targets again at a node that was not known yet when other nodes sent the
+// evidence about it.
+func TestCrashReportReturnsEvidenceOfOtherNodes(t *testing.T) {
+	const crashing = quarantine.Fingerprint(7)
+	old, late := startNode(t, 1, newPlatform()), startNode(t, 2, newPlatform())
+	now := time.Now()
+	for n := range uint32(2) {
+		old.quarantine.RecordCrash(now, old.s.Self.ID, n, []quarantine.Fingerprint{crashing, 8})
+	}
+	late.quarantine.RecordCrash(now, late.s.Self.ID, 1, []quarantine.Fingerprint{crashing})
+	assert.Equal(t, late.quarantine.State(now, crashing), quarantine.Clear)
+	assert.NilError(t, late.ExchangeQuarantine(context.Background(), old.s.Self, late.quarantine.UpdatesFor(now, []quarantine.Fingerprint{crashing})))
+	assert.Equal(t, late.quarantine.State(now, crashing), quarantine.Suspect)
+	assert.Equal(t, late.quarantine.State(now, 8), quarantine.Clear, "no evidence about it was exchanged")
+	assert.Equal(t, old.quarantine.List(now)[0].Crashes, 3)
+}
--- a/io/control/controlv1/control.connect.go
+++ b/io/control/controlv1/control.connect.go
@@ -51,7 +51,7 @@
 	Config(context.Context, *ConfigRequest) (*ConfigResponse, error)
 	// Outcome asks what became of one attempt of a request, and may withdraw it.
 	Outcome(context.Context, *OutcomeRequest) (*OutcomeResponse, error)
-	// Quarantine takes evidence about requests that crashed targets.
+	// Quarantine exchanges evidence about requests that crashed targets.
 	Quarantine(context.Context, *QuarantineRequest) (*QuarantineResponse, error)
 }
 
@@ -145,7 +145,7 @@
 	Config(context.Context, *ConfigRequest) (*ConfigResponse, error)
 	// Outcome asks what became of one attempt of a request, and may withdraw it.
 	Outcome(context.Context, *OutcomeRequest) (*OutcomeResponse, error)
-	// Quarantine takes evidence about requests that crashed targets.
+	// Quarantine exchanges evidence about requests that crashed targets.
 	Quarantine(context.Context, *QuarantineRequest) (*QuarantineResponse, error)
 }
 
--- a/io/control/quarantine.go
+++ b/io/control/quarantine.go
@@ -10,8 +10,8 @@
 	"mustardmast/io/control/controlv1"
 )
 
-func encodeQuarantineUpdates(updates []quarantine.Update) *controlv1.QuarantineRequest {
-	r := &controlv1.QuarantineRequest{}
+func encodeQuarantineUpdates(updates []quarantine.Update) []*controlv1.CrashNews {
+	var news []*controlv1.CrashNews
 	for _, u := range updates {
 		c := &controlv1.CrashNews{
 			Fingerprint: uint64(u.Fingerprint), Passed: encodeEvent(u.Completed), Cleared: encodeEvent(u.Cleared),
@@ -19,9 +19,9 @@
 		for _, m := range u.Crashes {
 			c.Crashes = append(c.Crashes, encodeEvent(m))
 		}
-		r.News = append(r.News, c)
+		news = append(news, c)
 	}
-	return r
+	return news
 }
 
 // encodeEvent rounds the age down: an event that arrives younger than it is stays in force longer, never shorter.
@@ -36,9 +36,9 @@
 	return &controlv1.Mark{Id: e.ID, AgeMs: ms}
 }
 
-func decodeQuarantineUpdates(r *controlv1.QuarantineRequest) []quarantine.Update {
+func decodeQuarantineUpdates(news []*controlv1.CrashNews) []quarantine.Update {
 	var updates []quarantine.Update
-	for _, c := range r.News {
+	for _, c := range news {
 		u := quarantine.Update{
 			Fingerprint: quarantine.Fingerprint(c.Fingerprint), Completed: decodeEvent(c.Passed), Cleared: decodeEvent(c.Cleared),
 		}
@@ -64,7 +64,7 @@
 // EncodeDigest encodes as many of the updates, from the first on, as fit into the digest of a datagram.
 func EncodeDigest(updates []quarantine.Update) []byte {
 	for len(updates) > 0 {
-		b, err := proto.Marshal(encodeQuarantineUpdates(updates))
+		b, err := proto.Marshal(&controlv1.QuarantineRequest{News: encodeQuarantineUpdates(updates)})
 		if err == nil && len(b) <= member.MaxDigest {
 			return b
 		}
@@ -79,5 +79,5 @@
 	if err := proto.Unmarshal(b, &r); err != nil {
 		return nil
 	}
-	return decodeQuarantineUpdates(&r)
+	return decodeQuarantineUpdates(r.News)
 }
--- a/io/control/server.go
+++ b/io/control/server.go
@@ -45,9 +45,10 @@
 	Outcome(ctx context.Context, q OutcomeQuery) OutcomeResponse
 }
 
-// Quarantine merges quarantine updates from other nodes.
+// Quarantine merges quarantine updates from other nodes, and returns the node's own evidence as updates.
 type Quarantine interface {
 	Merge(now time.Time, updates []quarantine.Update) bool
+	UpdatesFor(now time.Time, fingerprints []quarantine.Fingerprint) []quarantine.Update
 }
 
 // Handler returns the path and handler of the control service, to be registered at the server of the peer address.
@@ -125,11 +126,17 @@
 	return &controlv1.OutcomeResponse{State: controlv1.OutcomeState(outcome.State), Status: uint32(outcome.Status)}, nil
 }
 
-// Quarantine merges updates about requests that crashed targets.
+// Quarantine merges updates about requests that crashed targets, and returns this node's evidence about them: the sender
+// may be a node that was not known here when earlier updates were sent.
 func (s *service) Quarantine(_ context.Context, r *controlv1.QuarantineRequest) (*controlv1.QuarantineResponse, error) {
 	if s.c.s.Quarantine == nil {
 		return nil, connect.NewError(connect.CodeUnimplemented, errors.New("this node has no quarantine list"))
 	}
-	s.c.s.Quarantine.Merge(s.c.s.Timers.Now(), decodeQuarantineUpdates(r))
-	return &controlv1.QuarantineResponse{}, nil
+	now, updates := s.c.s.Timers.Now(), decodeQuarantineUpdates(r.News)
+	s.c.s.Quarantine.Merge(now, updates)
+	fingerprints := make([]quarantine.Fingerprint, len(updates))
+	for i, u := range updates {
+		fingerprints[i] = u.Fingerprint
+	}
+	return &controlv1.QuarantineResponse{News: encodeQuarantineUpdates(s.c.s.Quarantine.UpdatesFor(now, fingerprints))}, nil
 }
