io/localtarget: a response starts waiting calls only if the limit has changed

Each response of the target looked for waiting calls to start once more, for two short locks, and the end of the call does the same again. Only a changed limit on the rate moves the time of the next start; slots that the first response of a lifetime frees are filled by TargetResponded itself.

Tests of the limit in io/localtarget and core/admission pass, three times with the race detector.

--- a/io/localtarget/localtarget.go
+++ b/io/localtarget/localtarget.go
@@ -271,8 +271,8 @@
 	}
 	if e.controller.TargetResponded(time.Now(), n.RateLimit, n.Limited) {
 		e.observer.RateLimitChanged(t.ID, n.RateLimit)
+		e.startWaiting() // the next waiting call may start at another time
 	}
-	e.startWaiting()
 }
 
 // checkTarget returns an error if the current lifetime of the target cannot run the call.
