core/lifetime, sidecar: remember the leaving that only a health response states

A node that restarts beside a target that shuts down asks its health path. If the response stated the leaving, the node did not use the target, but forgot what it had learned: the next announcement that said "ready", a late one or one of a target that never announces its shutdown, brought the target back, and callers on other hosts were sent to it until its first response. With a health status other than 200 the statement was not even read.

The lifetime is now recorded as leaving, by its ID, for starts up to the request of the health path. Announcements of it are taken as draining; a later start under the same ID is ready. If the announcement came first, the health response makes the lifetime drain.

TestLeavingThatOnlyTheHealthResponseStates has the tracker alone.

--- a/core/lifetime/lifetime.go
+++ b/core/lifetime/lifetime.go
@@ -143,20 +143,21 @@
 }
 
 // MarkLeaving records that the response to a call has stated that its lifetime shuts down. Lifetime is what Target
-// returned before the call was sent. Later announcements do not make it ready again. MarkLeaving returns false if it
-// changes nothing.
+// returned before the call was sent, or an assumed one that only the response has named. Later announcements do not make
+// it ready again. MarkLeaving returns false if the current target stays as it was.
 func (t *Tracker) MarkLeaving(sent time.Time, lifetime Target) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if !t.isCurrent(sent, lifetime) {
-		return false
+	current := t.isCurrent(sent, lifetime)
+	if !current && t.latest.ID == lifetime.ID {
+		return false // it has started again since
 	}
-	start := t.latest.StartedMS
+	start := lifetime.StartedMS
 	if start == 0 {
 		start = sent.UnixMilli() // it started before that
 	}
 	remember(t.leaving, lifetime.ID, start)
-	if t.state != Ready {
+	if !current || t.state != Ready {
 		return false
 	}
 	t.state = Draining
@@ -168,7 +169,9 @@
 func (t *Tracker) Assume(id, service string, slots int) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if _, gone := t.deregistered[id]; gone || id == "" || slots <= 0 || t.state != Absent {
+	_, gone := t.deregistered[id]
+	_, leaving := t.leaving[id]
+	if gone || leaving || id == "" || slots <= 0 || t.state != Absent {
 		return false
 	}
 	t.latest = Announcement{ID: id, Service: service, Slots: slots}
--- a/core/lifetime/lifetime_test.go
+++ b/core/lifetime/lifetime_test.go
@@ -152,3 +152,19 @@
 		assert.Assert(t, !l.IsCurrent(sent, before), "another lifetime")
 	}
 }
+
+// Guards against a target that is used at its next announcement although its health response has stated that it shuts
+// down, and against one that is not used after it has started again.
+func TestLeavingThatOnlyTheHealthResponseStates(t *testing.T) {
+	l := lifetime.New(address)
+	assert.Assert(t, !l.MarkLeaving(time.UnixMilli(5000), lifetime.Target{ID: "a", Assumed: true}), "no target is known")
+	assert.Assert(t, !l.Assume("a", "watch", 30))
+	assert.Assert(t, l.Announce(announcement("a", 1000, 1)))
+	assertState(t, l, "a", lifetime.Draining)
+	assert.Assert(t, l.Announce(announcement("a", 6000, 1)), "a later start under the same ID")
+	assertState(t, l, "a", lifetime.Ready)
+	announcedMeanwhile := lifetime.New(address)
+	assert.Assert(t, announcedMeanwhile.Announce(announcement("a", 1000, 1)))
+	assert.Assert(t, announcedMeanwhile.MarkLeaving(time.UnixMilli(5000), lifetime.Target{ID: "a", Assumed: true}))
+	assertState(t, announcedMeanwhile, "a", lifetime.Draining)
+}
--- a/io/targetconn/targetconn.go
+++ b/io/targetconn/targetconn.go
@@ -187,7 +187,8 @@
 	return nil
 }
 
-// Probe requests the health path of the target and returns the response headers, which carry its lifetime and load.
+// Probe requests the health path of the target and returns the response headers, which carry its lifetime and load. It
+// returns an error for a status other than 200; the headers are nil only if there was no response.
 func (p *Pool) Probe(ctx context.Context, path string) (http.Header, error) {
 	cn, err := p.dial(ctx)
 	if err != nil {
@@ -205,7 +206,7 @@
 		return nil, fault.Wrap(err, fault.TargetFailed, "probe")
 	}
 	if resp.StatusCode != http.StatusOK {
-		return nil, fault.Newf(fault.NotReady, "probe: status %d, expected 200", resp.StatusCode)
+		return resp.Header, fault.Newf(fault.NotReady, "probe: status %d, expected 200", resp.StatusCode)
 	}
 	return resp.Header, nil
 }
--- a/sidecar/cluster_test.go
+++ b/sidecar/cluster_test.go
@@ -189,7 +189,8 @@
 	id      string
 	server  *http.Server
 	handler atomic.Pointer[http.HandlerFunc]
-	leaving atomic.Bool // responses state that the target is shutting down
+	leaving atomic.Bool  // responses state that the target is shutting down
+	health  atomic.Int32 // status of the health path; 0 for 200
 
 	mu   sync.Mutex
 	runs map[string]int
@@ -211,6 +212,9 @@
 		case r.URL.Path == "/healthz":
 			w.Header().Set("Instance-Id", id)
 			w.Header().Set("Instance-Load", "0,0,20")
+			if status := tgt.health.Load(); status != 0 {
+				w.WriteHeader(int(status))
+			}
 			return
 		case r.Header.Get("Expected-Instance") != id:
 			w.WriteHeader(http.StatusMisdirectedRequest)
--- a/sidecar/notice_test.go
+++ b/sidecar/notice_test.go
@@ -56,29 +56,34 @@
 }
 
 // Guards against a request that reaches a target after one of its answers has stated that it is shutting down, also from a
-// node that is restarted beside it and does not know that answer.
+// node that is restarted beside it and knows that answer neither then nor from the announcement that follows.
 func TestTargetGetsNoRequestsOnceItsAnswersStateThatItLeaves(t *testing.T) {
-	c := newCluster(t)
-	entry, leaving, ready := c.add("ledger", "a"), c.add("board", "a"), c.add("board", "b")
-	leaving.target.leaving.Store(true)
-	eventually(t, 5*time.Second, func() bool {
-		id, _, _ := entry.send("GET", "/board/", nil, nil)
-		return leaving.target.runCount(id) == 1
-	})
-	sendAll := func() {
-		for range 30 {
-			id, resp, _ := entry.send("GET", "/board/", nil, nil)
-			assert.Equal(t, resp.StatusCode, http.StatusOK)
-			assert.Equal(t, leaving.target.runCount(id), 0)
-			assert.Equal(t, ready.target.runCount(id), 1)
-			time.Sleep(10 * time.Millisecond)
+	for _, health := range []int{http.StatusOK, http.StatusServiceUnavailable} {
+		c := newCluster(t)
+		entry, leaving, ready := c.add("ledger", "a"), c.add("board", "a"), c.add("board", "b")
+		leaving.target.leaving.Store(true)
+		eventually(t, 5*time.Second, func() bool {
+			id, _, _ := entry.send("GET", "/board/", nil, nil)
+			return leaving.target.runCount(id) == 1
+		})
+		sendAll := func() {
+			for range 30 {
+				id, resp, _ := entry.send("GET", "/board/", nil, nil)
+				assert.Equal(t, resp.StatusCode, http.StatusOK)
+				assert.Equal(t, leaving.target.runCount(id), 0)
+				assert.Equal(t, ready.target.runCount(id), 1)
+				time.Sleep(10 * time.Millisecond)
+			}
 		}
+		leaving.announce("ready", 2)
+		sendAll()
+		leaving.target.health.Store(int32(health))
+		leaving.stop()
+		<-leaving.ended
+		leaving.start()
+		leaving.awaitListening()
+		sendAll()
+		leaving.announce("ready", 3)
+		sendAll()
 	}
-	leaving.announce("ready", 2)
-	sendAll()
-	leaving.stop()
-	<-leaving.ended
-	leaving.start()
-	leaving.awaitListening()
-	sendAll()
 }
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -171,16 +171,22 @@
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
 	s.probes.Inc()
+	sent := time.Now()
 	h, err := s.pool.Probe(ctx, config.HealthPath)
-	if err != nil {
-		s.log.Write(eventlog.TargetNotReady, zap.String("service", service), zap.Error(err))
+	id := h.Get(platform.Headers().Lifetime)
+	if n, _ := platform.ParseNotice(h); n.Leaving { // a malformed limit does not matter here
+		s.log.Write(eventlog.TargetNotReady, zap.String("target", id), zap.String("service", service), zap.String("reason", "its health response states that it is shutting down"))
+		if s.tracker.MarkLeaving(sent, lifetime.Target{ID: id, Assumed: true}) {
+			s.reporter.targetLeaving(id)
+		}
 		return
 	}
-	if n, _ := platform.ParseNotice(h); n.Leaving { // a malformed limit does not matter here
+	if err != nil {
+		s.log.Write(eventlog.TargetNotReady, zap.String("service", service), zap.Error(err))
 		return
 	}
 	load, ok := platform.ParseLoad(h)
-	if ok && s.tracker.Assume(h.Get(platform.Headers().Lifetime), service, load.Slots) {
+	if ok && s.tracker.Assume(id, service, load.Slots) {
 		s.controller.TargetReplaced()
 		s.controller.SetSlots(time.Now(), load.Slots)
 		t := s.tracker.Target()
