sidecar: soak with targets that state their shutdown

The soak had targets that name a limit, but none that states in its responses that it shuts down while its announcements still say "ready". It has them now: for 1.5 to 3 s, after which the target starts again under the same ID. Checked is that no request which a client sent a second after the first such response had arrived at a client reaches the target, but for eight after each start of a node, before the first response.

--- a/sidecar/cluster_test.go
+++ b/sidecar/cluster_test.go
@@ -176,8 +176,8 @@
 // announce sends a heartbeat for the target.
 func (h *host) announce(state string, sequence int) {
 	h.c.t.Helper()
-	body := fmt.Sprintf(`{"Service":%q,"Address":"%s:8301","Zone":"z","Version":"v1","MaxConcurrency":20,"State":%q,"WarmupLeftS":0,"Sequence":%d,"born":1000}`,
-		h.service, h.ip, state, sequence)
+	body := fmt.Sprintf(`{"Service":%q,"Address":"%s:8301","Zone":"z","Version":"v1","MaxConcurrency":20,"State":%q,"WarmupLeftS":0,"Sequence":%d,"born":%d}`,
+		h.service, h.ip, state, sequence, h.target.startedMS.Load())
 	r, err := http.Post("http://"+h.ip+":8306/v1/instances/"+h.target.id+"/heartbeat", "application/json", strings.NewReader(body))
 	assert.NilError(h.c.t, err)
 	_ = r.Body.Close()
@@ -186,14 +186,16 @@
 
 // target is a stub of a target that counts the runs of each request.
 type target struct {
-	id      string
-	server  *http.Server
-	handler atomic.Pointer[http.HandlerFunc]
-	leaving atomic.Bool  // responses state that the target is shutting down
-	health  atomic.Int32 // status of the health path; 0 for 200
+	id        string
+	server    *http.Server
+	handler   atomic.Pointer[http.HandlerFunc]
+	leaving   atomic.Bool  // responses state that the target is shutting down
+	health    atomic.Int32 // status of the health path; 0 for 200
+	startedMS atomic.Int64 // Unix milliseconds
 
-	mu   sync.Mutex
-	runs map[string]int
+	mu          sync.Mutex
+	runs        map[string]int
+	leavingRuns []string // requests that ran while leaving was set
 }
 
 func newTarget(t testing.TB, h *host, at, id string) *target {
@@ -201,6 +203,7 @@
 	l, err := net.Listen("tcp", at)
 	assert.NilError(t, err)
 	tgt := &target{id: id, runs: map[string]int{}}
+	tgt.startedMS.Store(1000)
 	tgt.setHandler(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "from "+h.ip) })
 	tgt.server = &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		request := r.Header.Get("Attempt-Id")
@@ -222,6 +225,9 @@
 		}
 		tgt.mu.Lock()
 		tgt.runs[request]++
+		if tgt.leaving.Load() {
+			tgt.leavingRuns = append(tgt.leavingRuns, request)
+		}
 		tgt.mu.Unlock()
 		(*tgt.handler.Load())(w, r)
 	})}
--- a/sidecar/soak_test.go
+++ b/sidecar/soak_test.go
@@ -22,9 +22,9 @@
 )
 
 // The soak test runs nodes as processes and injects faults from outside: signals, a store that fails, targets that drop
-// or truncate responses or limit the rate of their requests, changes of the configuration, of which some reach no watch, and
-// proxies that delay, reset, stall or cut in one direction the
-// connections to a target or to the store. It compares the responses that clients got with what the targets ran.
+// or truncate responses, limit the rate of their requests or shut down, changes of the configuration, of which some reach
+// no watch, and proxies that delay, reset, stall or cut in one direction the connections to a target or to the store. It
+// compares the responses that clients got with what the targets ran.
 const (
 	soakHosts     = 5
 	soakClients   = 10
@@ -32,6 +32,7 @@
 	maxSettleTime = 4 * time.Second // after the last fault until all nodes must serve again
 	soakGrace     = 3 * time.Second // GraceS of the settings in cluster_test.go
 	exitSlack     = 500 * time.Millisecond
+	leaveTime     = 1500 * time.Millisecond // least time for which a target states that it shuts down
 )
 
 // failedSeeds are the seeds other than 1, 2 and 3 that have ever failed, each with its cause. Seed 1, which always
@@ -66,7 +67,7 @@
 type sentRequest struct {
 	id, path, body string
 	status         int
-	at             time.Time
+	at, endedAt    time.Time
 }
 
 // soakRun is one run of the soak test with its random choices.
@@ -79,6 +80,7 @@
 	history []sentRequest
 	plan    []string
 	paces   []*pacedTarget
+	leaves  [][]string // requests that reached a target which stated that it was shutting down
 }
 
 // pacedTarget records the requests that reach a target while it names a limit on their rate.
@@ -125,7 +127,7 @@
 		for _, h := range r.hosts {
 			go func() {
 				client := http.Client{Timeout: time.Second}
-				body := fmt.Sprintf(`{"Service":%q,"Address":"%s:8301","MaxConcurrency":20,"State":"ready","Sequence":%d,"born":1000}`, h.service, h.ip, n)
+				body := fmt.Sprintf(`{"Service":%q,"Address":"%s:8301","MaxConcurrency":20,"State":"ready","Sequence":%d,"born":%d}`, h.service, h.ip, n, h.target.startedMS.Load())
 				if resp, err := client.Post("http://"+h.ip+":8306/v1/instances/i-1/heartbeat", "application/json", strings.NewReader(body)); err == nil {
 					_ = resp.Body.Close()
 				}
@@ -150,7 +152,7 @@
 			s.path, method, body = "/ledger/", "POST", strings.NewReader(strings.Repeat("b", random.IntN(40_000)))
 		}
 		id, resp, text := h.send(method, s.path, http.Header{"Deadline-Ms": {"2500"}}, body)
-		s.id, s.status, s.body = id, resp.StatusCode, text
+		s.id, s.status, s.body, s.endedAt = id, resp.StatusCode, text, time.Now()
 		r.mu.Lock()
 		r.history = append(r.history, s)
 		r.mu.Unlock()
@@ -161,7 +163,7 @@
 func (r *soakRun) injectFault(wg *sync.WaitGroup) {
 	h := r.hosts[r.random.IntN(len(r.hosts))]
 	duration := time.Duration(100+r.random.IntN(1400)) * time.Millisecond
-	kinds := []string{"kill", "pause", "term", "store", "configure", "lose", "cut", "slow-link", "reset-link", "one-way-link", "stalled-link", "limit", "missed-change"}
+	kinds := []string{"kill", "pause", "term", "store", "configure", "lose", "cut", "slow-link", "reset-link", "one-way-link", "stalled-link", "limit", "missed-change", "leave"}
 	kind := kinds[r.random.IntN(len(kinds))]
 	r.plan = append(r.plan, fmt.Sprintf("%s %s for %v", kind, h.ip, duration))
 	switch kind {
@@ -181,6 +183,10 @@
 		r.paces = append(r.paces, p)
 		h.setTargetHandler(func(w http.ResponseWriter, q *http.Request) { p.serve(h, w, q) })
 		wg.Go(func() { time.Sleep(duration + time.Second); h.setTargetHandler(h.serveEcho) })
+	case "leave":
+		if h.target.leaving.CompareAndSwap(false, true) {
+			wg.Go(func() { time.Sleep(duration + leaveTime); r.restartTarget(h) })
+		}
 	case "lose":
 		h.setTargetHandler(func(w http.ResponseWriter, _ *http.Request) { panic(http.ErrAbortHandler) })
 		wg.Go(func() { time.Sleep(duration); h.setTargetHandler(h.serveEcho) })
@@ -196,6 +202,38 @@
 	}
 }
 
+// restartTarget ends the shutdown of a target, which starts again under the same ID.
+func (r *soakRun) restartTarget(h *host) {
+	h.target.mu.Lock()
+	h.target.leaving.Store(false)
+	h.target.startedMS.Store(time.Now().UnixMilli())
+	ids := h.target.leavingRuns
+	h.target.leavingRuns = nil
+	h.target.mu.Unlock()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.leaves = append(r.leaves, ids)
+}
+
+// checkLeave checks that no request that a client sent after maxLeaveDelay reached a target, counted from the first response
+// which stated that the target was shutting down. A node that is started beside the target may send some.
+func (r *soakRun) checkLeave(t *testing.T, ids []string, restarts int) {
+	const maxLeaveDelay, beforeResponse = time.Second, 8
+	var told time.Time
+	for _, s := range r.history {
+		if s.status == http.StatusOK && slices.Contains(ids, s.id) && (told.IsZero() || s.endedAt.Before(told)) {
+			told = s.endedAt
+		}
+	}
+	late := 0
+	for _, s := range r.history {
+		if !told.IsZero() && s.at.Sub(told) > maxLeaveDelay && slices.Contains(ids, s.id) {
+			late++
+		}
+	}
+	assert.Check(t, late <= beforeResponse*restarts, "%d requests reached a target that had stated its shutdown; %d restarts", late, restarts)
+}
+
 func (p *pacedTarget) serve(h *host, w http.ResponseWriter, q *http.Request) {
 	p.mu.Lock()
 	p.arrivals = append(p.arrivals, time.Now())
@@ -300,6 +338,9 @@
 	for _, p := range r.paces {
 		p.check(t, restarts)
 	}
+	for _, ids := range r.leaves {
+		r.checkLeave(t, ids, restarts)
+	}
 }
 
 // awaitAllServing waits until all nodes serve both routes.
