io/platform: a watch whose connection has gone silent ends within seconds

The watchers of `mustardmast node` waited for 25 s, and a watch without a response ended 5 s later, so a change whose watches had all gone silent reached callers after 30 s. It must be in force everywhere within 8 s.

A wait is 2 s now, and a watch without a response ends 3.5 s after it. With 1.4 s for the propagation (docs/CAPACITY.md) that leaves a second. Watches cost 12 calls a second at 3,800 nodes, of 200 (worked out, 1 before).

--- a/io/platform/client.go
+++ b/io/platform/client.go
@@ -31,11 +31,15 @@
 
 // Defaults of Settings.
 const (
-	DefaultTimeout  = 5 * time.Second
-	DefaultPollWait = 25 * time.Second // many middleboxes drop connections that are idle for a minute
+	DefaultTimeout = 5 * time.Second
+	// DefaultPollWait and watchMargin bound the time for which a watch can miss a change: one whose connection has gone
+	// silent ends at their sum. A change must be in force everywhere within 8 s, of which its propagation takes 1.4 s.
+	DefaultPollWait = 2 * time.Second
 	DefaultAttempts = 3
 	DefaultBackoff  = 100 * time.Millisecond
 	maxBackoff      = 2 * time.Second
+
+	watchMargin = 3500 * time.Millisecond // time for the response of a watch after the end of its wait
 )
 
 // Settings configure a Client. Zero values select the defaults.
@@ -107,7 +111,7 @@
 func (c *Client) Watch(ctx context.Context, name string, after uint64) (mustardmast.Object, error) {
 	q := url.Values{"watch": {strconv.FormatUint(after, 10)}, "wait-ms": {strconv.FormatInt(c.s.PollWait.Milliseconds(), 10)}}
 	for {
-		o, changed, err := c.read(ctx, OpWatch, name, q, c.s.PollWait+c.s.Timeout)
+		o, changed, err := c.read(ctx, OpWatch, name, q, c.s.PollWait+watchMargin)
 		if err != nil || changed {
 			return o, err
 		}
--- a/io/platform/client_test.go
+++ b/io/platform/client_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -139,3 +140,33 @@
 	// version 1: 10.0.0.1:7000
 	// conflict: object "seeds/koper-a" no longer has version 7
 }
+
+// Guards against a change that is not in force in time because the connection of a watch has gone silent. Of the 8 s that
+// a change may take, 2 s are for its propagation from the watchers to the other nodes.
+func TestChangeWhileWatchIsSilent(t *testing.T) {
+	s := stub.New()
+	var watches atomic.Int32
+	released := make(chan struct{})
+	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Query().Has("watch") && watches.Add(1) == 1 {
+			<-released
+			return
+		}
+		s.ServeHTTP(w, r)
+	}))
+	t.Cleanup(srv.Close)
+	t.Cleanup(func() { close(released) })
+	c, err := platform.New(platform.Settings{URL: srv.URL})
+	assert.NilError(t, err)
+	ctx, cancel := context.WithTimeout(context.Background(), 40*time.Second)
+	defer cancel()
+	time.AfterFunc(100*time.Millisecond, func() {
+		_, err := c.Put(ctx, put("config", 0, "x"))
+		assert.Check(t, err)
+	})
+	start := time.Now()
+	o, err := c.Watch(ctx, "config", 0)
+	assert.NilError(t, err)
+	assert.Equal(t, string(o.Value), "x")
+	assert.Assert(t, time.Since(start) <= 6*time.Second, "learned of the change after %v", time.Since(start))
+}
