io/control: answer a crash report with earlier evidence only

The response to a crash report repeated what the report itself had brought, for each request in flight at the crash and from each node of the service. The sender needs what the receiver knew before; mostly that is nothing.

--- a/io/control/server.go
+++ b/io/control/server.go
@@ -126,17 +126,18 @@
 	return &controlv1.OutcomeResponse{State: controlv1.OutcomeState(outcome.State), Status: uint32(outcome.Status)}, nil
 }
 
-// Quarantine merges updates about requests that crashed targets, and returns this node's evidence about them: the sender
-// may be a node that was not known here when earlier updates were sent.
+// Quarantine merges updates about requests that crashed targets, and returns the evidence that this node had about them
+// before: the sender may be a node that was not known here when earlier updates were sent.
 func (s *service) Quarantine(_ context.Context, r *controlv1.QuarantineRequest) (*controlv1.QuarantineResponse, error) {
 	if s.c.s.Quarantine == nil {
 		return nil, connect.NewError(connect.CodeUnimplemented, errors.New("this node has no quarantine list"))
 	}
 	now, updates := s.c.s.Timers.Now(), decodeQuarantineUpdates(r.News)
-	s.c.s.Quarantine.Merge(now, updates)
 	fingerprints := make([]quarantine.Fingerprint, len(updates))
 	for i, u := range updates {
 		fingerprints[i] = u.Fingerprint
 	}
-	return &controlv1.QuarantineResponse{News: encodeQuarantineUpdates(s.c.s.Quarantine.UpdatesFor(now, fingerprints))}, nil
+	known := s.c.s.Quarantine.UpdatesFor(now, fingerprints)
+	s.c.s.Quarantine.Merge(now, updates)
+	return &controlv1.QuarantineResponse{News: encodeQuarantineUpdates(known)}, nil
 }
