--- a/sidecar/soak_test.go
+++ b/sidecar/soak_test.go
@@ -8,7 +8,6 @@
 	"os"
 	"os/exec"
 	"path/filepath"
-	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -83,14 +82,6 @@
 	leaves  [][]string // requests that reached a target which stated that it was shutting down
 }
 
-// pacedTarget records the requests that reach a target while it names a limit on their rate.
-type pacedTarget struct {
-	limit float64 // requests per second
-
-	mu       sync.Mutex
-	arrivals []time.Time
-}
-
 func newSoakRun(t *testing.T, program string, seed uint64) *soakRun {
 	t.Helper()
 	r := &soakRun{cluster: newCluster(t), random: rand.New(rand.NewPCG(seed, seed)), version: 10}
@@ -202,63 +193,6 @@
 	}
 }
 
-// restartTarget ends the shutdown of a target, which starts again under the same ID.
-func (r *soakRun) restartTarget(h *host) {
-	h.target.mu.Lock()
-	h.target.leaving.Store(false)
-	h.target.startedMS.Store(time.Now().UnixMilli())
-	ids := h.target.leavingRuns
-	h.target.leavingRuns = nil
-	h.target.mu.Unlock()
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.leaves = append(r.leaves, ids)
-}
-
-// checkLeave checks that no request that a client sent after maxLeaveDelay reached a target, counted from the first response
-// which stated that the target was shutting down. A node that is started beside the target may send some.
-func (r *soakRun) checkLeave(t *testing.T, ids []string, restarts int) {
-	const maxLeaveDelay, beforeResponse = time.Second, 8
-	var told time.Time
-	for _, s := range r.history {
-		if s.status == http.StatusOK && slices.Contains(ids, s.id) && (told.IsZero() || s.endedAt.Before(told)) {
-			told = s.endedAt
-		}
-	}
-	late := 0
-	for _, s := range r.history {
-		if !told.IsZero() && s.at.Sub(told) > maxLeaveDelay && slices.Contains(ids, s.id) {
-			late++
-		}
-	}
-	assert.Check(t, late <= beforeResponse*restarts, "%d requests reached a target that had stated its shutdown; %d restarts", late, restarts)
-}
-
-func (p *pacedTarget) serve(h *host, w http.ResponseWriter, q *http.Request) {
-	p.mu.Lock()
-	p.arrivals = append(p.arrivals, time.Now())
-	p.mu.Unlock()
-	w.Header().Set("Server-Limit", strconv.FormatFloat(p.limit, 'f', 1, 64))
-	h.serveEcho(w, q)
-}
-
-// check checks that from the learning time on no window has more requests than the limit allows, and than a node that is
-// started beside the target sends before the first response.
-func (p *pacedTarget) check(t *testing.T, restarts int) {
-	const learning, window, beforeResponse = 500 * time.Millisecond, time.Second, 8
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	most := 0
-	for i, from := range p.arrivals {
-		if from.Sub(p.arrivals[0]) >= learning {
-			end, _ := slices.BinarySearchFunc(p.arrivals, from.Add(window), time.Time.Compare)
-			most = max(most, end-i)
-		}
-	}
-	allowed := 1.5*p.limit*window.Seconds() + 5 + float64(beforeResponse*restarts)
-	assert.Check(t, float64(most) <= allowed, "%d requests in %v at a limit of %v; %d restarts", most, window, p.limit, restarts)
-}
-
 // injectLinkFault injects a fault into the connections of a node to its target or to the store.
 func injectLinkFault(wg *sync.WaitGroup, p *proxy, kind string, duration time.Duration) {
 	switch kind {
