--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,6 @@
-export GOFLAGS := -buildvcs=false
 GO ?= go
+# Keeps the flags of the environment, such as those set by go env -w.
+export GOFLAGS := $(shell $(GO) env GOFLAGS) -buildvcs=false
 
 .PHONY: build test demo measure capacity overhead soak generate fmt lint ci
 
