--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -56,6 +56,13 @@
 	Ready                                 bool // its target accepts requests; true unless known otherwise
 }
 
+// Unreadable describes an entry of the store that is not the valid record of a host.
+type Unreadable struct {
+	Name     string // empty if not even that can be decoded
+	Revision uint64 // of the store, at the entry's last change
+	Reason   error
+}
+
 // newer reports whether r supersedes o.
 func (r Record) newer(o Record) bool {
 	if r.Started != o.Started {
--- a/io/fleet/fleet.go
+++ b/io/fleet/fleet.go
@@ -31,7 +31,7 @@
 type Store interface {
 	Configuration(ctx context.Context) (routing.Document, error)
 	WatchConfiguration(ctx context.Context, after uint64, wait time.Duration) (routing.Document, error)
-	Hosts(ctx context.Context) (hosts []roster.Record, unreadable []string, err error)
+	Hosts(ctx context.Context) (hosts []roster.Record, unreadable []roster.Unreadable, err error)
 	Register(ctx context.Context, r roster.Record) error
 	Remove(ctx context.Context, host string) error
 	CloseIdle()
@@ -51,6 +51,8 @@
 	storeUp    atomic.Bool
 	fetching   atomic.Bool
 	exchanging sync.Map // hosts with an exchange in progress
+	unreadable atomic.Int64
+	logged     map[string]uint64 // revision of each unreadable entry that has been logged; used by join only
 	ctx        context.Context
 	stop       context.CancelFunc
 }
@@ -58,7 +60,7 @@
 // New returns a fleet without hosts and configuration. Decode decodes a configuration that another node has sent.
 func New(r *roster.Roster, link *hostlink.Client, s Store, t mustardmast.Timers, decode func([]byte) (*routing.Table, error), l *eventlog.Log) *Fleet {
 	ctx, stop := context.WithCancel(context.Background())
-	return &Fleet{roster: r, link: link, store: s, timers: t, decode: decode, log: l, ctx: ctx, stop: stop}
+	return &Fleet{roster: r, link: link, store: s, timers: t, decode: decode, log: l, logged: map[string]uint64{}, ctx: ctx, stop: stop}
 }
 
 // Start starts reading the store and exchanging messages with other nodes.
@@ -131,9 +133,7 @@
 	if err != nil {
 		return err
 	}
-	for _, name := range unreadable {
-		f.log.Write(eventlog.HostEntryUnreadable, zap.String("entry", name))
-	}
+	f.recordUnreadable(unreadable)
 	for _, r := range hosts {
 		r.Ready = true // until the host reports otherwise
 		f.merge(r, false)
@@ -143,6 +143,21 @@
 	return nil
 }
 
+// recordUnreadable logs the entries that cannot be decoded, once for each of their revisions.
+func (f *Fleet) recordUnreadable(entries []roster.Unreadable) {
+	f.unreadable.Store(int64(len(entries)))
+	for _, e := range entries {
+		if revision, ok := f.logged[e.Name]; ok && revision == e.Revision {
+			continue
+		}
+		f.logged[e.Name] = e.Revision
+		f.log.Write(eventlog.HostEntryUnreadable, zap.String("entry", e.Name), zap.Uint64("revision", e.Revision), zap.Error(e.Reason))
+	}
+}
+
+// UnreadableEntries returns the number of host entries that could not be decoded when the store was last read.
+func (f *Fleet) UnreadableEntries() int { return int(f.unreadable.Load()) }
+
 func (f *Fleet) merge(r roster.Record, direct bool) {
 	if r.Host == "" || r.Address == "" {
 		return
--- a/sidecar/providers.go
+++ b/sidecar/providers.go
@@ -88,8 +88,10 @@
 	return platform.NewStore(s.StoreAddress(), set.NewCounter("mustardmast_store_calls_total").Inc)
 }
 
-func newFleet(r *roster.Roster, link *hostlink.Client, s fleet.Store, t mustardmast.Timers, l *eventlog.Log) *fleet.Fleet {
-	return fleet.New(r, link, s, t, platform.DecodeDocument, l)
+func newFleet(r *roster.Roster, link *hostlink.Client, s fleet.Store, t mustardmast.Timers, l *eventlog.Log, set *metrics.Set) *fleet.Fleet {
+	f := fleet.New(r, link, s, t, platform.DecodeDocument, l)
+	set.NewGauge("mustardmast_host_entries_unreadable", func() float64 { return float64(f.UnreadableEntries()) })
+	return f
 }
 
 func newRecorder(l *eventlog.Log, set *metrics.Set, f *fleet.Fleet, reporter *targetReporter) *decisions.Recorder {
--- a/sidecar/wire_gen.go
+++ b/sidecar/wire_gen.go
@@ -32,7 +32,7 @@
 	client := newPeerClient(settings)
 	store := newStore(settings, set)
 	service := tick.New()
-	fleet := newFleet(roster, client, store, service, log)
+	fleet := newFleet(roster, client, store, service, log, set)
 	sidecarTargetReporter := newTargetReporter(fleet, tracker, log)
 	recorder := newRecorder(log, set, fleet, sidecarTargetReporter)
 	executor := newExecutor(tracker, controller, pool, recorder, fleet)
