core/closing, io/ingress: accept during a planned stop only what can end in time

Cause: for a constant time after SIGTERM (2.5 s, or half of a shorter grace period) a stopping node accepted every request, and the calls of its target's runs until the end. One that took longer than the rest of the grace period was cut off without an answer when the process ended, also one that may not be repeated. Change: core/closing decides from the time left. A request that must not run twice is accepted only if the longest time that it may take fits. A repeatable one is accepted as well if 99% of its route end in time, until clients can know of the stop; calls of running requests are until the end. What still runs at the end gets an answer that says the outcome is unknown, in place of a closed connection. The time to return in a refusal includes the rest of the notice period.

--- a/io/httpdrain/httpdrain.go
+++ b/io/httpdrain/httpdrain.go
@@ -11,6 +11,8 @@
 	"net/http"
 	"sync"
 	"time"
+
+	"github.com/pkg/errors"
 )
 
 const (
@@ -80,7 +82,7 @@
 func (s *Server) Close() error { return s.server.Close() }
 
 // Shutdown stops listening, waits until no connection has a request in progress, and shuts the server down. It returns
-// the error of ctx if that ends first; the connections are still open then.
+// the error of ctx if that ends first; the connections are still open then, and Shutdown may be called again.
 func (s *Server) Shutdown(ctx context.Context) error {
 	if err := s.stopListening(); err != nil {
 		return err
@@ -114,7 +116,7 @@
 	if l == nil {
 		return nil
 	}
-	if err := l.Close(); err != nil {
+	if err := l.Close(); err != nil && !errors.Is(err, net.ErrClosed) { // an earlier Shutdown may have closed it
 		return err
 	}
 	<-s.stopped
--- a/io/ingress/ingress.go
+++ b/io/ingress/ingress.go
@@ -20,6 +20,7 @@
 	"github.com/pkg/errors"
 
 	"mustardmast"
+	"mustardmast/core/closing"
 	"mustardmast/core/fault"
 	"mustardmast/core/pressure"
 	"mustardmast/core/rejections"
@@ -46,7 +47,8 @@
 	minRetryFraction, maxRetryFraction = 0.3, 0.5
 	maxRetryDelayFraction              = 1.0 / 3
 	minRetryDelay                      = 20 * time.Millisecond
-	// restartDelay is the retry delay while the node is stopping. Its successor starts within a second.
+	// restartDelay is the time from when clients know of a planned stop until a node accepts their requests again: this
+	// one restarts within a second, or they use another one.
 	restartDelay = time.Second
 	// retryAdmissionFactor multiplies the admitted fraction for retries of rejected callers.
 	retryAdmissionFactor = 3
@@ -76,8 +78,8 @@
 	Rejections *rejections.Tracker
 	Executor   *localtarget.Executor // of the target, whose sub-calls belong to its runs
 	Observer   Observer
-	Draining   func() bool // if true, connections are closed after their response
-	Closing    func() bool // if true, new requests of clients are rejected
+	Draining   func() bool   // if true, connections are closed after their response
+	Closing    *closing.Gate // decides which requests are accepted during a planned stop
 }
 
 // Handler serves requests. It implements http.Handler.
@@ -85,10 +87,20 @@
 	options  Options
 	buffered atomic.Int64
 	active   atomic.Int64
+	ctx      context.Context
+	abandon  context.CancelFunc
 }
 
 // New returns a handler.
-func New(o Options) *Handler { return &Handler{options: o} }
+func New(o Options) *Handler {
+	ctx, cancel := context.WithCancel(context.Background())
+	return &Handler{options: o, ctx: ctx, abandon: cancel}
+}
+
+// Abandon ends all requests that are still waiting for a reply. Their callers are told that the outcome is unknown, or
+// that the request has not run where that is certain. It is called at the end of a planned stop, so that they get a
+// response before the process ends.
+func (h *Handler) Abandon() { h.abandon() }
 
 // Active returns the number of requests being served.
 func (h *Handler) Active() int64 { return h.active.Load() }
@@ -122,6 +134,7 @@
 	defer q.release()
 	ctx, cancel := context.WithDeadline(r.Context(), q.call.Deadline)
 	defer cancel()
+	defer context.AfterFunc(h.ctx, cancel)()
 	reply, err := h.place(ctx, q)
 	if err != nil {
 		status := h.writeError(w, q, err)
@@ -131,6 +144,7 @@
 	if q.waited > 0 && reply.Status < http.StatusInternalServerError {
 		h.options.Rejections.Served(q.key)
 	}
+	h.options.Closing.Observe(q.call.Route, time.Since(began))
 	err = h.writeReply(w, reply)
 	h.options.Observer.RequestCompleted(q.call, reply.Status, err, time.Since(began))
 	if err != nil {
@@ -270,11 +284,14 @@
 
 // place sheds a request or runs it on a target.
 func (h *Handler) place(ctx context.Context, q *request) (*mustardmast.TargetReply, error) {
+	now := time.Now()
+	if !h.options.Closing.Accepts(now, closing.Request{
+		Route: q.call.Route, Repeatable: q.call.Repeatable, SubCall: q.call.SubCall, Limit: q.call.Deadline.Sub(now),
+	}) {
+		return nil, fault.New(fault.Draining, "the node of this host is stopping, and the request may not end in time").
+			WithRetryAfter(h.options.Closing.NoticeLeft(now) + restartDelay)
+	}
 	if !q.call.SubCall {
-		if h.options.Closing() {
-			return nil, fault.New(fault.Draining, "the node of this host is stopping").WithRetryAfter(restartDelay)
-		}
-		now := time.Now()
 		level := h.options.Levels.Level(now, q.call.Route)
 		fraction := pressure.AdmittedFraction(level, q.call.Rank)
 		// A retry is admitted retryAdmissionFactor times as often but carries the admitted fraction of first attempts,
--- a/sidecar/load_test.go
+++ b/sidecar/load_test.go
@@ -166,3 +166,49 @@
 	assert.Assert(t, took < soakGrace, "%v", took)
 	assert.Assert(t, rejected.Load() > 0)
 }
+
+// Sends a request of each kind at each tenth of the grace period of a planned stop, in calm. Each takes nearly as long as
+// the timeout of its route. Guards against requests that are accepted although they cannot end in time and are cut off
+// when the process ends, above all those that may not be repeated.
+func TestRequestsLateInTheGraceOfAPlannedStop(t *testing.T) {
+	c := newCluster(t)
+	c.configure(3, rule("/board/", "idempotent", 2, "board", 2), rule("/ledger/", "non_idempotent", 0, "board", 2))
+	entry, board := c.add("ledger", "a"), c.add("board", "a")
+	board.target.setHandler(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path != "/board/" {
+			time.Sleep(1900 * time.Millisecond)
+		}
+		_, _ = io.WriteString(w, "done")
+	})
+	entry.warmUp()
+	var wg sync.WaitGroup
+	var served, rejected, connRefused, unknown atomic.Int64
+	start := time.Now()
+	entry.stop()
+	for tenth := range 10 {
+		time.Sleep(time.Until(start.Add(time.Duration(tenth) * soakGrace / 10)))
+		for method, path := range map[string]string{"GET": "/board/long", "POST": "/ledger/long"} {
+			wg.Go(func() {
+				id, resp, text := entry.send(method, path, nil, nil)
+				ran := board.target.runCount(id) > 0
+				switch {
+				case resp.StatusCode == http.StatusOK && text == "done":
+					served.Add(1)
+				case resp.StatusCode == http.StatusServiceUnavailable && resp.Header.Get("Retry-After") != "" && !ran:
+					rejected.Add(1)
+				case strings.Contains(text, "connection refused"):
+					connRefused.Add(1) // the node has not read it, so the client may retry
+				case method == "GET" && resp.StatusCode/100 == 5 && tenth < 5: // its client could not know of the stop
+					unknown.Add(1)
+				default:
+					t.Errorf("%s after %d tenths of the grace period: status %d, %.100s, ran %v", path, tenth, resp.StatusCode, text, ran)
+				}
+			})
+		}
+	}
+	wg.Wait()
+	<-entry.ended
+	t.Logf("served %d, rejected %d, connection refused %d, outcome unknown %d", served.Load(), rejected.Load(), connRefused.Load(), unknown.Load())
+	assert.Assert(t, served.Load() >= 2 && rejected.Load() > 0)
+	assert.Assert(t, time.Since(start) < soakGrace)
+}
--- a/sidecar/providers.go
+++ b/sidecar/providers.go
@@ -14,6 +14,7 @@
 
 	"mustardmast"
 	"mustardmast/core/admission"
+	"mustardmast/core/closing"
 	"mustardmast/core/lifetime"
 	"mustardmast/core/pressure"
 	"mustardmast/core/rejections"
@@ -114,10 +115,10 @@
 }
 
 func newIngress(s *liveSettings, f *fleet.Fleet, e *localtarget.Executor, p *placement.Placer, l *pressure.Levels,
-	t *rejections.Tracker, o *decisions.Recorder, reporter *targetReporter,
+	t *rejections.Tracker, g *closing.Gate, o *decisions.Recorder, reporter *targetReporter,
 ) *ingress.Handler {
 	return ingress.New(ingress.Options{
 		Names: platform.Headers(), Host: s.Load().Host(), Service: func() string { return s.Load().Service() },
-		Table: f.Table, Placer: p, Levels: l, Rejections: t, Executor: e, Observer: o, Draining: reporter.draining.Load, Closing: reporter.rejectingClients.Load,
+		Table: f.Table, Placer: p, Levels: l, Rejections: t, Executor: e, Observer: o, Draining: reporter.draining.Load, Closing: g,
 	})
 }
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -17,6 +17,7 @@
 	"go.uber.org/zap"
 
 	"mustardmast/core/admission"
+	"mustardmast/core/closing"
 	"mustardmast/core/lifetime"
 	"mustardmast/io/announce"
 	"mustardmast/io/decisions"
@@ -41,11 +42,12 @@
 	// default, because memory is billed.
 	gcPercent = 100
 	// noticePeriod is the time until clients use other nodes: the platform checks readiness once a second, and considers
-	// a node not ready after two failed checks. Requests that arrive later are rejected, so that none of them is running
-	// when the process ends.
+	// a node not ready after two failed checks.
 	noticePeriod = 2500 * time.Millisecond
-	// responseReserve is the time before the end of the grace period that is kept for responses in progress.
+	// responseReserve is the time before the end of the grace period that is kept for responses in progress, and
+	// abandonReserve the part of it in which the requests that have not ended by then are answered.
 	responseReserve   = 300 * time.Millisecond
+	abandonReserve    = 200 * time.Millisecond
 	drainPollInterval = 50 * time.Millisecond
 	// probeInterval is the time between two requests to the target's health path, and configPollInterval between two
 	// checks whether the configuration, which names the path, has been installed.
@@ -70,6 +72,7 @@
 	sink       *logsink.Sink
 	probes     *metrics.Counter
 	recorder   *decisions.Recorder
+	gate       *closing.Gate
 }
 
 // server serves the connections of a listener.
@@ -83,11 +86,11 @@
 
 func newSidecar(path settingsFile, s *liveSettings, t *lifetime.Tracker, c *admission.Controller, p *targetconn.Pool, e *localtarget.Executor,
 	h *ingress.Handler, f *fleet.Fleet, tr *targetReporter, set *metrics.Set, l *eventlog.Log, sink *logsink.Sink,
-	r *decisions.Recorder,
+	r *decisions.Recorder, g *closing.Gate,
 ) *Sidecar {
 	return &Sidecar{
 		path: path, settings: s, tracker: t, controller: c, pool: p, executor: e, ingress: h, fleet: f, reporter: tr, set: set, log: l, sink: sink,
-		probes: set.NewCounter("mustardmast_probes_total"), recorder: r,
+		probes: set.NewCounter("mustardmast_probes_total"), recorder: r, gate: g,
 	}
 }
 
@@ -142,6 +145,17 @@
 	}
 }
 
+// abandonRequests answers the requests that have not ended by the end of a planned stop, so that no caller is left with
+// a closed connection.
+func (s *Sidecar) abandonRequests(callers *httpdrain.Server) {
+	ctx, cancel := context.WithTimeout(context.Background(), abandonReserve)
+	defer cancel()
+	s.ingress.Abandon()
+	if err := callers.Shutdown(ctx); err != nil {
+		s.log.Write(eventlog.DrainTimedOut, zap.Int64("requests", s.ingress.Active()), zap.Error(err))
+	}
+}
+
 func newHTTPServer(h http.Handler) *http.Server {
 	return &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes}
 }
@@ -245,10 +259,11 @@
 func (s *Sidecar) stop(callers *httpdrain.Server) {
 	start := time.Now()
 	deadline := start.Add(s.settings.Load().GracePeriod() - responseReserve)
+	notice := min(noticePeriod, s.settings.Load().GracePeriod()/2)
+	s.gate.Close(start.Add(notice), deadline)
 	s.reporter.draining.Store(true)
 	s.executor.Drain()
 	s.log.Write(eventlog.Stopping, zap.Int64("requests", s.ingress.Active()), zap.Int64("calls", s.executor.Active()))
-	notice := min(noticePeriod, s.settings.Load().GracePeriod()/2)
 	targetState := s.tracker.Target().State
 	peersNotified := make(chan struct{})
 	go func() {
@@ -256,7 +271,6 @@
 		s.fleet.Leave(targetState == lifetime.Gone || targetState == lifetime.Draining)
 	}()
 	for now := start; now.Before(deadline); now = time.Now() {
-		s.reporter.rejectingClients.Store(now.Sub(start) > notice)
 		if now.Sub(start) > notice && s.ingress.Active() == 0 && s.executor.Active() == 0 {
 			break
 		}
@@ -266,6 +280,7 @@
 	defer cancel()
 	if err := callers.Shutdown(ctx); err != nil {
 		s.log.Write(eventlog.DrainTimedOut, zap.Int64("requests", s.ingress.Active()), zap.Int64("calls", s.executor.Active()), zap.Error(err))
+		s.abandonRequests(callers)
 	}
 	select {
 	case <-peersNotified:
--- a/sidecar/targetreporter.go
+++ b/sidecar/targetreporter.go
@@ -10,14 +10,12 @@
 	"mustardmast/io/fleet"
 )
 
-// targetReporter reports changes of the target on this host to the other nodes. Its flags are set during a planned
-// stop.
+// targetReporter reports changes of the target on this host to the other nodes.
 type targetReporter struct {
-	fleet            *fleet.Fleet
-	tracker          *lifetime.Tracker
-	log              *eventlog.Log
-	draining         atomic.Bool // no more calls are accepted for the target
-	rejectingClients atomic.Bool // new requests of clients are rejected too
+	fleet    *fleet.Fleet
+	tracker  *lifetime.Tracker
+	log      *eventlog.Log
+	draining atomic.Bool // a planned stop is in progress; no more calls are accepted for the target
 }
 
 func newTargetReporter(f *fleet.Fleet, t *lifetime.Tracker, l *eventlog.Log) *targetReporter {
--- a/sidecar/wire_gen.go
+++ b/sidecar/wire_gen.go
@@ -8,6 +8,7 @@
 
 import (
 	"github.com/VictoriaMetrics/metrics"
+	"mustardmast/core/closing"
 	"mustardmast/core/pressure"
 	"mustardmast/core/rejections"
 	"mustardmast/io/tick"
@@ -40,7 +41,8 @@
 	levels := pressure.New()
 	placer := newPlacer(roster, executor, client, budget, levels, recorder)
 	rejectionsTracker := rejections.New()
-	handler := newIngress(sidecarLiveSettings, fleet, executor, placer, levels, rejectionsTracker, recorder, sidecarTargetReporter)
-	sidecar := newSidecar(f, sidecarLiveSettings, tracker, controller, pool, executor, handler, fleet, sidecarTargetReporter, set, log, sink, recorder)
+	gate := closing.New()
+	handler := newIngress(sidecarLiveSettings, fleet, executor, placer, levels, rejectionsTracker, gate, recorder, sidecarTargetReporter)
+	sidecar := newSidecar(f, sidecarLiveSettings, tracker, controller, pool, executor, handler, fleet, sidecarTargetReporter, set, log, sink, recorder, gate)
 	return sidecar, nil
 }
