io/hostlink: keep a call that must not run twice while its host is silent

Cause: a connection whose peer did not answer a ping for 0.5 s was closed from both ends. A host that only stood still or was cut off for some seconds so lost the calls that it was running: their callers got an unknown outcome after 1.2 s, although the reply was there as soon as the host responded again. Change: a node confirms a call that is not repeatable with a frame when it has received it. While the peer is silent, confirmed calls are kept until their deadline; all others fail as before, new calls open another connection, and the host counts as down at once. The protocol version is 2. Failed tries: considered keeping all calls that were sent before the last received frame; with one call on most connections of a large fleet that says nothing.

--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -261,6 +261,18 @@
 	return !wasDown
 }
 
+// HostAt returns the host whose node has an address, or false if there is none.
+func (r *Roster) HostAt(address string) (string, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, m := range r.sorted {
+		if m.record.Address == address {
+			return m.record.Host, true
+		}
+	}
+	return "", false
+}
+
 // MarkUp records that a host is reachable. It returns true if the host was down before.
 func (r *Roster) MarkUp(host string) bool {
 	r.mu.Lock()
--- a/io/hostlink/client.go
+++ b/io/hostlink/client.go
@@ -28,6 +28,7 @@
 // Client sends calls and gossip messages to other nodes. Its methods may be called concurrently.
 type Client struct {
 	dialer *net.Dialer
+	silent func(address string)
 
 	mu    sync.Mutex
 	peers map[string]*peer // by address
@@ -46,9 +47,10 @@
 	err  error
 }
 
-// NewClient returns a client whose connections originate from a local address.
-func NewClient(local net.IP) *Client {
-	return &Client{dialer: &net.Dialer{Timeout: dialTimeout, LocalAddr: &net.TCPAddr{IP: local}}, peers: map[string]*peer{}}
+// NewClient returns a client whose connections originate from a local address. Silent is called when a node to which calls
+// are in flight does not respond any more.
+func NewClient(local net.IP, silent func(address string)) *Client {
+	return &Client{dialer: &net.Dialer{Timeout: dialTimeout, LocalAddr: &net.TCPAddr{IP: local}}, silent: silent, peers: map[string]*peer{}}
 }
 
 // openStream opens a stream to the node at an address, and connects first if necessary. Concurrent calls share a dial.
@@ -93,7 +95,7 @@
 			c.mu.Lock()
 			defer c.mu.Unlock()
 			c.removeIfUnused(address, p)
-		})
+		}, func() { c.silent(address) })
 		d.conn.writeBuf = append(d.conn.writeBuf, preface...)
 		go d.conn.readFrames()
 	}
@@ -257,7 +259,7 @@
 // callNode sends a request that the node serves itself instead of passing it to its target.
 func (c *Client) callNode(ctx context.Context, address, path string, body []byte) ([]byte, error) {
 	reply, _, _, err := c.Execute(ctx, address, &mustardmast.TargetCall{
-		Method: http.MethodPost, URI: path, Host: nodeHost, Body: bytes.NewReader(body), Length: int64(len(body)),
+		Method: http.MethodPost, URI: path, Host: nodeHost, Body: bytes.NewReader(body), Length: int64(len(body)), Repeatable: true,
 	})
 	if err != nil {
 		return nil, err
--- a/io/hostlink/conn.go
+++ b/io/hostlink/conn.go
@@ -35,13 +35,20 @@
 )
 
 // conn is a connection between two nodes, as seen from either end.
+//
+// A connection whose peer does not respond to a ping is silent. The peer may be gone, or it may only stand still or be
+// cut off for some seconds. Calls that can be sent elsewhere, or that the peer may not have received, fail then. A call
+// that the peer has received and that must not run twice is kept until its deadline: its reply may still arrive, and
+// nobody else can give one.
 type conn struct {
-	net     net.Conn
-	maxIdle time.Duration // time without calls after which it is closed
-	onCall  callHandler   // nil on the dialing side
-	onClose func(c *conn)
+	net      net.Conn
+	maxIdle  time.Duration // time without calls after which it is closed
+	onCall   callHandler   // nil on the dialing side
+	onClose  func(c *conn)
+	onSilent func() // called when the connection turns silent
 
 	lastReceived atomic.Int64 // time of the last received frame, in Unix nanoseconds
+	silent       atomic.Bool
 	mu           sync.Mutex
 	err          error // why the connection was closed
 	streams      map[uint32]*stream
@@ -57,18 +64,18 @@
 // callHandler handles the first frame of a call. It must not block.
 type callHandler func(c *conn, id uint32, head, body []byte, last bool)
 
-func newConn(n net.Conn, maxIdle time.Duration, onCall callHandler, onClose func(*conn)) *conn {
-	c := &conn{net: n, maxIdle: maxIdle, onCall: onCall, onClose: onClose, streams: map[uint32]*stream{}, lastUsed: time.Now()}
+func newConn(n net.Conn, maxIdle time.Duration, onCall callHandler, onClose func(*conn), onSilent func()) *conn {
+	c := &conn{net: n, maxIdle: maxIdle, onCall: onCall, onClose: onClose, onSilent: onSilent, streams: map[uint32]*stream{}, lastUsed: time.Now()}
 	c.lastReceived.Store(c.lastUsed.UnixNano())
 	c.timer = time.AfterFunc(pingAfter, c.checkLiveness)
 	return c
 }
 
-// openStream adds a stream on the dialing side. It returns false if the connection is closed.
+// openStream adds a stream on the dialing side. It returns false if the connection is closed or silent.
 func (c *conn) openStream(s *stream) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.err != nil {
+	if c.err != nil || c.silent.Load() {
 		return false
 	}
 	c.lastID++
@@ -107,8 +114,15 @@
 	}
 }
 
-// checkLiveness runs on the timer. It closes a connection with calls in flight if the peer does not respond to a ping,
-// and one without calls if it has been idle for too long.
+// keep makes a stream stay open while the connection is silent.
+func (c *conn) keep(s *stream) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	s.patient = true
+}
+
+// checkLiveness runs on the timer. It ends calls in flight if the peer does not respond to a ping, and closes a connection
+// without calls if it has been idle for too long.
 func (c *conn) checkLiveness() {
 	now := time.Now()
 	c.mu.Lock()
@@ -118,6 +132,9 @@
 	}
 	if len(c.streams) == 0 {
 		remaining := c.maxIdle - now.Sub(c.lastUsed)
+		if c.silent.Load() {
+			remaining = 0
+		}
 		if remaining > 0 {
 			c.timer.Reset(remaining)
 		}
@@ -143,6 +160,30 @@
 		c.mu.Unlock()
 	default:
 		c.mu.Unlock()
+		c.fallSilent()
+	}
+}
+
+// fallSilent ends the calls that are not kept while the peer is silent, and the connection if there are no others.
+func (c *conn) fallSilent() {
+	c.mu.Lock()
+	var ended []*stream
+	for id, s := range c.streams {
+		if !s.patient {
+			ended = append(ended, s)
+			delete(c.streams, id)
+		}
+	}
+	c.timer.Reset(pingAfter)
+	keep := len(c.streams) > 0 && !c.flushing // a write that blocks would hold up its caller
+	c.mu.Unlock()
+	if !c.silent.Swap(true) {
+		c.onSilent()
+	}
+	for _, s := range ended {
+		s.abort(errPingTimeout)
+	}
+	if !keep {
 		c.fail(errPingTimeout)
 	}
 }
@@ -162,6 +203,10 @@
 	}
 	c.flushing = true
 	c.mu.Unlock()
+	if c.silent.Load() {
+		go c.flush() // it may block, and the caller must go on
+		return true
+	}
 	runtime.Gosched() // let other goroutines append their frames
 	c.flush()
 	return true
@@ -218,6 +263,7 @@
 			}
 		}
 		c.lastReceived.Store(time.Now().UnixNano())
+		c.silent.Store(false)
 		if err := c.handleFrame(header[4], binary.BigEndian.Uint32(header[5:]), payload); err != nil {
 			c.fail(err)
 			return
@@ -262,6 +308,8 @@
 			return errProtocol
 		}
 		s.window.add(int(min(n, windowSize)))
+	case kindReceived:
+		c.keep(s)
 	case kindAbort:
 		s.abort(errors.New("stream aborted by peer node"))
 	default:
--- a/io/hostlink/conn_test.go
+++ b/io/hostlink/conn_test.go
@@ -24,7 +24,7 @@
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
 	assert.NilError(t, l.Close())
-	c := hostlink.NewClient(net.IPv4(127, 0, 0, 1))
+	c := hostlink.NewClient(net.IPv4(127, 0, 0, 1), func(string) {})
 	_, _, _, err = c.Execute(context.Background(), l.Addr().String(), call())
 	assert.Equal(t, fault.From(err).Kind(), fault.PeerUnreachable)
 	assert.Equal(t, fault.From(err).Outcome(), fault.NotExecuted)
@@ -56,7 +56,7 @@
 	sent := call()
 	sent.Deadline = time.Now().Add(20 * time.Second)
 	began := time.Now()
-	_, _, _, err = hostlink.NewClient(net.IPv4(127, 0, 0, 1)).Execute(context.Background(), l.Addr().String(), sent)
+	_, _, _, err = hostlink.NewClient(net.IPv4(127, 0, 0, 1), func(string) {}).Execute(context.Background(), l.Addr().String(), sent)
 	assert.Assert(t, err != nil)
 	assert.Assert(t, time.Since(began) < 3*time.Second, "%v", time.Since(began))
 }
@@ -99,7 +99,7 @@
 	s := hostlink.NewServer(&node{}, &node{})
 	go func() { _ = s.Serve(l) }()
 	defer func() { _ = s.Close() }()
-	c := hostlink.NewClient(net.IPv4(127, 0, 0, 1))
+	c := hostlink.NewClient(net.IPv4(127, 0, 0, 1), func(string) {})
 	defer c.Close()
 	_, err = c.FetchConfig(context.Background(), plain.Addr().String())
 	assert.NilError(t, err)
@@ -114,7 +114,7 @@
 
 // Guards against concurrent calls to an unreachable host that wait for their dials one after another.
 func TestConcurrentCallsToUnreachableHost(t *testing.T) {
-	c := hostlink.NewClient(net.IPv4(127, 0, 0, 1))
+	c := hostlink.NewClient(net.IPv4(127, 0, 0, 1), func(string) {})
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
 	assert.NilError(t, l.Close())
@@ -143,7 +143,7 @@
 	assert.NilError(t, err)
 	s := hostlink.NewServer(n, n)
 	go func() { _ = s.Serve(l) }()
-	c := hostlink.NewClient(net.IPv4(127, 0, 0, 1))
+	c := hostlink.NewClient(net.IPv4(127, 0, 0, 1), func(string) {})
 	defer c.Close()
 	go func() {
 		<-started
@@ -165,8 +165,8 @@
 	for _, bytes := range []string{
 		"GET / HTTP/1.1\r\nHost: x\r\n\r\n",
 		"PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n",
-		"mustardmast-link 1\n\xff\xff\xff\xff\x01\x00\x00\x00\x01",
-		"mustardmast-link 1\n\x00\x00\x00\x01\x01\x00\x00\x00\x01\x7f",
+		"mustardmast-link 2\n\xff\xff\xff\xff\x01\x00\x00\x00\x01",
+		"mustardmast-link 2\n\x00\x00\x00\x01\x01\x00\x00\x00\x01\x7f",
 	} {
 		n, err := net.Dial("tcp", address)
 		assert.NilError(t, err)
--- a/io/hostlink/frame.go
+++ b/io/hostlink/frame.go
@@ -16,6 +16,7 @@
 	kindAbort             // cancels the call, or ends a truncated body
 	kindPing              // requests a pong
 	kindPong
+	kindReceived // the peer has received a call that is not repeatable
 )
 
 // flagLast marks the last frame of a body.
@@ -23,7 +24,7 @@
 
 const (
 	// preface is sent first on each connection. It contains the version of the protocol.
-	preface = "mustardmast-link 1\n"
+	preface = "mustardmast-link 2\n"
 	// maxPayload and maxHeadSize are the maximum sizes in bytes of a payload and of an encoded head. Heads of requests
 	// are limited to 64 KiB at the entry node, those of responses to 192 KiB by the node beside the target.
 	maxPayload  = 256 << 10
--- a/io/hostlink/hostlink_test.go
+++ b/io/hostlink/hostlink_test.go
@@ -45,7 +45,7 @@
 	s := hostlink.NewServer(n, n)
 	go func() { _ = s.Serve(l) }()
 	t.Cleanup(func() { _ = s.Close() })
-	c := hostlink.NewClient(net.IPv4(127, 0, 0, 1))
+	c := hostlink.NewClient(net.IPv4(127, 0, 0, 1), func(string) {})
 	t.Cleanup(c.Close)
 	return l.Addr().String(), c
 }
@@ -230,7 +230,7 @@
 
 // Guards against reading beyond the end of a truncated head or one with invalid counts.
 func FuzzHeads(f *testing.F) {
-	address, c := "", hostlink.NewClient(net.IPv4(127, 0, 0, 1))
+	address, c := "", hostlink.NewClient(net.IPv4(127, 0, 0, 1), func(string) {})
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(f, err)
 	s := hostlink.NewServer(&node{execute: func(context.Context, *mustardmast.TargetCall) (*mustardmast.TargetReply, error) {
@@ -246,7 +246,7 @@
 		}
 		n, err := net.Dial("tcp", address)
 		assert.NilError(t, err)
-		frame := append([]byte("mustardmast-link 1\n"), 0, 0, byte(len(payload)>>8), byte(len(payload)), 0x81, 0, 0, 0, 1)
+		frame := append([]byte("mustardmast-link 2\n"), 0, 0, byte(len(payload)>>8), byte(len(payload)), 0x81, 0, 0, 0, 1)
 		_, err = n.Write(append(frame, payload...))
 		assert.NilError(t, err)
 		assert.NilError(t, n.Close())
--- a/io/hostlink/server.go
+++ b/io/hostlink/server.go
@@ -158,7 +158,7 @@
 		return
 	}
 	_ = n.SetReadDeadline(time.Time{}) // if this fails, a later read ends the connection
-	c := newConn(n, serverIdleTimeout, s.handleCall, s.removeConn)
+	c := newConn(n, serverIdleTimeout, s.handleCall, s.removeConn, func() {})
 	s.mu.Lock()
 	closed := s.closed
 	s.conns[c] = struct{}{}
@@ -214,6 +214,10 @@
 	if c.Body != nil {
 		c.Body = st.recv
 	}
+	if !c.Repeatable {
+		st.conn.keep(st)
+		st.conn.writeFrame(kindReceived, st.id)
+	}
 	var reply *mustardmast.TargetReply
 	var report mustardmast.TargetReport
 	if c.Host == nodeHost {
--- a/io/placement/placement_test.go
+++ b/io/placement/placement_test.go
@@ -27,7 +27,7 @@
 // Guards against a panic when the caller cancels while its call waits for a target. The error had no kind, so the node
 // closed the connection instead of responding. It occurred while a zone was cut off.
 func TestCallerCancelsWhileNoTargetIsReachable(t *testing.T) {
-	link := hostlink.NewClient(net.IPv4(127, 0, 0, 1))
+	link := hostlink.NewClient(net.IPv4(127, 0, 0, 1), func(string) {})
 	defer link.Close()
 	self := roster.Record{Host: "h1", Service: "board"}
 	p := placement.New(roster.New(self, 1), nil, link, retrybudget.New(retrybudget.Spec{Ratio: 0.2, Slack: 10, Window: time.Second}), pressure.New(), observer{})
--- a/io/rawjson/rawjson.go
+++ b/io/rawjson/rawjson.go
@@ -115,7 +115,7 @@
 		case '"':
 			i = endOfString(s.rest, i)
 			if depth == 0 {
-				return s.split(min(i+1, len(s.rest)))
+				return s.split(i + 1)
 			}
 		case '{', '[':
 			depth++
@@ -148,7 +148,9 @@
 	return len(text)
 }
 
+// split consumes n characters, or all that are left if a string has no end.
 func (s *scanner) split(n int) Value {
+	n = min(n, len(s.rest))
 	v := s.rest[:n]
 	s.rest = s.rest[n:]
 	return v
--- a/sidecar/cluster_test.go
+++ b/sidecar/cluster_test.go
@@ -99,7 +99,7 @@
 // milliseconds after its own node is ready.
 func (h *host) awaitKnownToOthers() {
 	h.c.t.Helper()
-	link := hostlink.NewClient(net.IPv4(127, 0, 0, 1))
+	link := hostlink.NewClient(net.IPv4(127, 0, 0, 1), func(string) {})
 	defer link.Close()
 	for _, o := range h.c.hosts {
 		eventually(h.c.t, 5*time.Second, func() bool {
--- a/sidecar/providers.go
+++ b/sidecar/providers.go
@@ -73,8 +73,12 @@
 	return targetconn.New(s.TargetAddress().String(), platform.Headers(), set.NewCounter("mustardmast_target_connections_total").Inc)
 }
 
-func newPeerClient(s platform.Settings) *hostlink.Client {
-	return hostlink.NewClient(net.IP(s.IP().AsSlice()))
+func newPeerClient(s platform.Settings, r *roster.Roster, l *eventlog.Log) *hostlink.Client {
+	return hostlink.NewClient(net.IP(s.IP().AsSlice()), func(address string) {
+		if host, ok := r.HostAt(address); ok && r.MarkDown(time.Now(), host) {
+			l.Write(eventlog.HostDown, zap.String("host", host), zap.String("reason", "it does not respond to a ping"))
+		}
+	})
 }
 
 func newRoster(s platform.Settings) *roster.Roster {
--- a/sidecar/sidecar_test.go
+++ b/sidecar/sidecar_test.go
@@ -145,7 +145,7 @@
 	for n := range hosts {
 		c.add([]string{"board", "ledger"}[n%2], string(rune('a'+n%3)))
 	}
-	link := hostlink.NewClient(net.IPv4(127, 0, 0, 1))
+	link := hostlink.NewClient(net.IPv4(127, 0, 0, 1), func(string) {})
 	defer link.Close()
 	inForce := func(version uint64) bool { // without requests, whose replies would tell of the version
 		return !slices.ContainsFunc(c.hosts, func(h *host) bool {
--- a/sidecar/wire_gen.go
+++ b/sidecar/wire_gen.go
@@ -30,7 +30,7 @@
 	sink := newSink(set)
 	log := newLog(sink)
 	roster := newRoster(settings)
-	client := newPeerClient(settings)
+	client := newPeerClient(settings, roster, log)
 	store := newStore(settings, set)
 	service := tick.New()
 	fleet := newFleet(roster, client, store, service, log, set)
