core/pressure, core/admission: shed chains in a surge before they begin

Cause, in a fleet of 95 nodes: an entry node sees a few requests a second of a route. It learned the level of a service at the end of the chain from their responses, after the runs that had met it, and each counted 0.15 in the average, so that a level took seconds to arrive. Chains that were begun meanwhile waited in the queue of the last service once for each call, and were late or lost a call. A request also waited up to its whole limit at each node that it was offered to. The node beside the first target sheds by the levels that the calls of its runs have met, and says so as not executed, with the level. The level counts the requests that wait as demand of the next 2 s. Of the same priority, chains that entered first go first; the age of a chain travels with each call. The limit on waiting counts from when a call was placed. A call whose deadline passes while it waits at another node is reported as not executed, as that node says, not as unknown.

--- a/core/admission/admission.go
+++ b/core/admission/admission.go
@@ -3,7 +3,9 @@
 //
 // A target runs a fixed number of requests concurrently. While all slots are in use, requests wait in order of the
 // priority of the request at the root of their call chain. Within a priority, sub-calls of running requests go first,
-// then retries by callers that were rejected before. A request is rejected immediately if its estimated wait exceeds
+// then retries by callers that were rejected before, and then the chains that entered first. In an overload, chains that
+// are close to their end so complete, and those that have just begun wait or fail at their first call; in the order of
+// arrival, each call of each chain would wait, and all chains would be late. A request is rejected immediately if its estimated wait exceeds
 // its limit, so that its sender has time to try another target.
 //
 // The controller also computes the level at which entry nodes should shed load. Each request carries the fraction of
@@ -42,6 +44,8 @@
 	// average of the demand, from which the level is computed.
 	levelPeriod  = 100 * time.Millisecond
 	demandWeight = 0.35
+	// drainTime is the time in which the requests that wait are to be served besides the demand.
+	drainTime = 2 * time.Second
 	// firstSlots is the number of slots that are used until a new lifetime of the target, or a target that a new node has
 	// found, has responded for the first time. A limit that it has named before is not known until then.
 	firstSlots = 8
@@ -58,6 +62,7 @@
 	AdmittedFraction float64       // fraction of such requests that the entry node admitted, above 0
 	AlreadyCounted   bool          // another target's controller has rejected the request and counted it as demand
 	MaxWait          time.Duration // longest time that the request may wait for a slot
+	Begun            time.Time     // when the request at the root of the call chain entered
 }
 
 // Ticket represents a request that runs or waits.
@@ -278,8 +283,9 @@
 	c.level = c.overloadLevel()
 }
 
-// overloadLevel returns the level at which the demand that remains after shedding uses goalUtilization of the slots, or
-// of those that the limit on the rate leaves.
+// overloadLevel returns the level at which the demand that remains after shedding, and the requests that wait by now, use
+// goalUtilization of the slots, or of those that the limit on the rate leaves. Without the latter, a queue from the start
+// of an overload would stay for as long as the overload, and each call of a chain would wait in it.
 func (c *Controller) overloadLevel() float64 {
 	var needed [numRanks]float64 // slots that the demand of each rank needs
 	total, demand := 0.0, 0.0
@@ -292,7 +298,8 @@
 	if demand == 0 {
 		return 0
 	}
-	excess := total - goalUtilization*c.rateSlots(time.Duration(total/demand*float64(time.Second)))
+	backlog := float64(len(c.queue)) * total / demand / drainTime.Seconds()
+	excess := total + backlog - goalUtilization*c.rateSlots(time.Duration(total/demand*float64(time.Second)))
 	level := 0.0
 	for r := 0; r < numRanks && excess > 0; r++ {
 		if needed[r] >= excess {
@@ -333,6 +340,8 @@
 		return a.SubCall
 	case a.CallerRetry != b.CallerRetry:
 		return a.CallerRetry
+	case !a.Begun.Equal(b.Begun):
+		return a.Begun.Before(b.Begun)
 	}
 	return t.sequence < o.sequence
 }
--- a/core/admission/admission_test.go
+++ b/core/admission/admission_test.go
@@ -66,6 +66,30 @@
 	}
 }
 
+// Guards against calls of chains that have just begun which go before those of chains that are close to their end: in an
+// overload, all chains would then be late.
+func TestChainsThatEnteredFirstGoFirst(t *testing.T) {
+	c, running := full(start)
+	enter := func(subCall bool, age, maxWait time.Duration) *admission.Ticket {
+		ticket, _ := c.Admit(start, admission.Request{SubCall: subCall, Begun: start.Add(-age), MaxWait: maxWait, AdmittedFraction: 1})
+		return ticket
+	}
+	var queue []*admission.Ticket
+	for _, age := range []time.Duration{2 * time.Millisecond, 900 * time.Millisecond, 300 * time.Millisecond} {
+		queue = append(queue, enter(true, age, time.Hour))
+	}
+	fresh := enter(false, time.Millisecond, time.Hour)
+	for n, want := range []*admission.Ticket{queue[1], queue[2], queue[0], fresh} {
+		c.Done(start, running[n], true)
+		assert.Assert(t, started(want), "position %d: not started", n)
+	}
+	for range 200 {
+		enter(true, 500*time.Millisecond, time.Hour)
+	}
+	assert.Assert(t, enter(true, 0, 100*time.Millisecond) == nil, "a chain that has just begun waits for those before it")
+	assert.Assert(t, enter(true, time.Second, 100*time.Millisecond) != nil, "an older chain does not wait for them")
+}
+
 // Guards against a request that is queued although it would exceed its maximum wait: it must be rejected immediately.
 func TestRejectsImmediatelyWhenWaitIsTooLong(t *testing.T) {
 	c, _ := full(start)
--- a/execution.go
+++ b/execution.go
@@ -23,7 +23,7 @@
 	Priority  int         // of the root request of the call chain; 0 is the most important
 
 	Rank             int     // priority steps of the root request above the lowest priority
-	AdmittedFraction float64 // fraction of requests like the root request that its entry host admitted
+	AdmittedFraction float64 // fraction of requests like the root request that were admitted before
 
 	Repeatable    bool // may run more than once
 	SubCall       bool // made by a target while it serves another request
@@ -31,6 +31,7 @@
 	Retry         bool // this call, or the request that it is a sub-call of, was already sent to another target
 	OfferedBefore bool // the call was already offered to another node
 
+	Begun    time.Time // when the root request entered
 	Deadline time.Time
 	MaxWait  time.Duration // for a slot
 }
--- a/io/hostlink/client.go
+++ b/io/hostlink/client.go
@@ -150,8 +150,11 @@
 	select {
 	case r = <-s.head:
 	case <-ctx.Done():
-		s.finish(false)
-		return nil, mustardmast.TargetReport{}, false, linkError(ctx, ctx.Err(), true)
+		if !errors.Is(ctx.Err(), context.DeadlineExceeded) {
+			s.finish(false) // the caller has gone
+			return nil, mustardmast.TargetReport{}, false, linkError(ctx, ctx.Err(), true)
+		}
+		return c.cancel(ctx, s)
 	}
 	if r.err != nil {
 		s.finish(true)
@@ -160,6 +163,25 @@
 	return c.reply(ctx, s, r)
 }
 
+// cancel cancels a call whose deadline has passed. It returns a reply that is complete by now. If the peer responds that the
+// call has not run, the outcome of the error is not-executed.
+func (c *Client) cancel(ctx context.Context, s *stream) (*mustardmast.TargetReply, mustardmast.TargetReport, bool, error) {
+	late := fault.From(linkError(ctx, ctx.Err(), true))
+	r, ok := s.cancel()
+	if !ok || r.err != nil || !r.last {
+		s.finish(true)
+		return nil, mustardmast.TargetReport{}, false, late
+	}
+	reply, report, reported, err := c.reply(ctx, s, r)
+	if err == nil {
+		return reply, report, reported, nil
+	}
+	if fault.From(err).Outcome() == fault.NotExecuted {
+		late = late.WithOutcome(fault.NotExecuted)
+	}
+	return nil, report, reported, late
+}
+
 func (c *Client) reply(ctx context.Context, s *stream, r reply) (*mustardmast.TargetReply, mustardmast.TargetReport, bool, error) {
 	out, report, remoteErr, err := decodeReply(r.head)
 	if err == nil && remoteErr != nil {
--- a/io/hostlink/codec.go
+++ b/io/hostlink/codec.go
@@ -113,7 +113,7 @@
 	return h
 }
 
-// encodeCall encodes a call. Deadlines are sent as the time left, because the clocks of hosts differ.
+// encodeCall encodes a call. Times are sent relative to now, because the clocks of hosts differ.
 func encodeCall(c *mustardmast.TargetCall, now time.Time) []byte {
 	flags := int64(0)
 	for _, f := range [...]struct {
@@ -129,7 +129,7 @@
 		e.text(text)
 	}
 	for _, n := range [...]int64{int64(c.Version), int64(c.Priority), int64(c.Rank), int64(max(1, c.AdmittedFraction*fractionScale)), flags,
-		c.Deadline.Sub(now).Microseconds(), c.MaxWait.Microseconds(), c.Length} {
+		c.Deadline.Sub(now).Microseconds(), now.Sub(c.Begun).Microseconds(), c.MaxWait.Microseconds(), c.Length} {
 		e.number(n)
 	}
 	e.header(c.Header)
@@ -148,6 +148,7 @@
 	c.AdmittedFraction = float64(max(1, d.number())) / fractionScale
 	flags := d.number()
 	c.Deadline = now.Add(time.Duration(d.number()) * time.Microsecond)
+	c.Begun = now.Add(-time.Duration(d.number()) * time.Microsecond)
 	c.MaxWait, c.Length = time.Duration(d.number())*time.Microsecond, d.number()
 	c.Repeatable, c.SubCall, c.CallerRetry = flags&flagRepeatable != 0, flags&flagSubCall != 0, flags&flagCallerRetry != 0
 	c.Retry, c.OfferedBefore = flags&flagRetry != 0, flags&flagOffered != 0
--- a/io/hostlink/hostlink_test.go
+++ b/io/hostlink/hostlink_test.go
@@ -54,7 +54,7 @@
 	return &mustardmast.TargetCall{
 		ID: "a.b", Service: "watch", Route: "q.example/x/", Version: 7, EntryHost: "h1", Method: "PATCH", URI: "/x/%2f?q=1", Host: "q.example",
 		Header: http.Header{"Accept": {"*/*"}}, Priority: 2, Rank: 1, AdmittedFraction: 0.25, Repeatable: true, SubCall: true, Retry: true, OfferedBefore: true,
-		Deadline: time.Now().Add(2 * time.Second), MaxWait: 30 * time.Millisecond,
+		Begun: time.Now().Add(-time.Second), Deadline: time.Now().Add(2 * time.Second), MaxWait: 30 * time.Millisecond,
 	}
 }
 
@@ -81,7 +81,8 @@
 	assert.DeepEqual(t, r, report)
 	assert.Equal(t, string(body), "body")
 	assert.Assert(t, sent.Deadline.Sub(got.Deadline).Abs() < 100*time.Millisecond)
-	got.Deadline, got.Body, sent.Body = sent.Deadline, nil, nil
+	assert.Assert(t, sent.Begun.Sub(got.Begun).Abs() < 100*time.Millisecond)
+	got.Begun, got.Deadline, got.Body, sent.Body = sent.Begun, sent.Deadline, nil, nil
 	assert.DeepEqual(t, got, *sent)
 }
 
--- a/io/hostlink/stream.go
+++ b/io/hostlink/stream.go
@@ -4,6 +4,7 @@
 	"encoding/binary"
 	"io"
 	"sync"
+	"time"
 
 	"github.com/pkg/errors"
 
@@ -68,6 +69,23 @@
 	s.window.fail(errClosed)
 }
 
+// cancelTimeout is the time to wait for the response to a canceled call. Round trips within a region take milliseconds.
+const cancelTimeout = 50 * time.Millisecond
+
+// cancel cancels a call whose deadline has passed, and returns the peer's response, which tells whether the call has run.
+// It returns false if there is none in time.
+func (s *stream) cancel() (reply, bool) {
+	s.conn.writeFrame(kindAbort, s.id)
+	timer := time.NewTimer(cancelTimeout)
+	defer timer.Stop()
+	select {
+	case r := <-s.head:
+		return r, true
+	case <-timer.C:
+		return reply{}, false
+	}
+}
+
 // sendError sends an error of this node in place of a reply. It returns false if the connection is closed.
 func (s *stream) sendError(err error, report mustardmast.TargetReport) bool {
 	return s.conn.writeHead(kindReply|flagLast, s.id, encodeError(fault.From(err), report), nil)
--- a/io/ingress/ingress.go
+++ b/io/ingress/ingress.go
@@ -50,8 +50,6 @@
 	// restartDelay is the time from when clients know of a planned stop until a node accepts their requests again: this
 	// one restarts within a second, or they use another one.
 	restartDelay = time.Second
-	// retryAdmissionFactor multiplies the admitted fraction for retries of rejected callers.
-	retryAdmissionFactor = 3
 	// timeoutMargin is subtracted from the timeout of the route, so that the response is sent by then.
 	timeoutMargin = 5 * time.Millisecond
 )
@@ -213,13 +211,13 @@
 		ID: r.Header.Get(h.options.Names.RequestID), Service: route.NextService(), Route: route.Key(), Version: t.Version(), EntryHost: h.options.Host,
 		Method: r.Method, URI: r.RequestURI, Host: r.Host, Header: h.forwardedHeader(r.Header), Length: r.ContentLength,
 		Priority: route.Priority(), Rank: t.LowestPriority() - route.Priority(), AdmittedFraction: 1, Repeatable: route.Kind().Repeatable(),
-		Deadline: now.Add(min(timeLeft, route.Timeout()-timeoutMargin)),
+		Deadline: now.Add(min(timeLeft, route.Timeout()-timeoutMargin)), Begun: now,
 	}
 	if !strings.HasPrefix(c.URI, "/") {
 		c.URI = r.URL.RequestURI()
 	}
 	if q.run = h.options.Executor.ParentRun(c.ID); q.run != nil {
-		c.SubCall, c.Priority, c.Retry = true, q.run.Priority(), q.run.Retry()
+		c.SubCall, c.Priority, c.Begun, c.Retry = true, q.run.Priority(), q.run.Begun(), q.run.Retry()
 		c.Rank, c.AdmittedFraction = q.run.Rank()
 		c.MaxWait = time.Duration(subCallWaitFraction * float64(c.Deadline.Sub(now)))
 	} else {
@@ -292,17 +290,11 @@
 			WithRetryAfter(h.options.Closing.NoticeLeft(now) + restartDelay)
 	}
 	if !q.call.SubCall {
-		level := h.options.Levels.Level(now, q.call.Route)
-		fraction := pressure.AdmittedFraction(level, q.call.Rank)
-		// A retry is admitted retryAdmissionFactor times as often but carries the admitted fraction of first attempts,
-		// so it counts as that many requests in the demand. The level is computed from this demand, so that the
-		// admitted first attempts and retries together match the capacity of the targets.
+		probability, fraction := h.options.Levels.Admission(now, q.call.Route, pressure.Request{Rank: q.call.Rank, CallerRetry: q.call.CallerRetry, AdmittedFraction: 1})
 		q.call.AdmittedFraction = fraction
-		if q.call.CallerRetry {
-			fraction *= retryAdmissionFactor
-		}
-		if rand.Float64() >= fraction {
-			return nil, fault.Newf(fault.Shed, "shedding level %.2f, received %v ago; admitted fraction %.2f", level, h.options.Levels.Age(now, q.call.Route), min(1, fraction))
+		if rand.Float64() >= probability {
+			return nil, fault.Newf(fault.Shed, "shedding level %.2f, received %v ago; admitted fraction %.2f",
+				h.options.Levels.Level(now, q.call.Route), h.options.Levels.Age(now, q.call.Route), fraction)
 		}
 	}
 	var observeLevel func(float64)
--- a/io/localtarget/localtarget.go
+++ b/io/localtarget/localtarget.go
@@ -9,6 +9,7 @@
 	"context"
 	"io"
 	"math"
+	"math/rand/v2"
 	"net/http"
 	"strings"
 	"sync"
@@ -19,6 +20,7 @@
 	"mustardmast/core/admission"
 	"mustardmast/core/fault"
 	"mustardmast/core/lifetime"
+	"mustardmast/core/pressure"
 	"mustardmast/io/targetconn"
 )
 
@@ -59,6 +61,7 @@
 	observer   Observer
 	notice     func(http.Header) (mustardmast.TargetNotice, error)
 	version    func() uint64
+	levels     *pressure.Levels // by the route of a run, as its sub-calls have observed them
 	draining   atomic.Bool
 	active     atomic.Int64
 	pacer      *time.Timer // starts waiting calls when the limit on the rate allows
@@ -71,9 +74,12 @@
 
 // Run is a call that is running on the target.
 type Run struct {
+	route            string
+	levels           *pressure.Levels
 	priority         int
 	rank             int
 	admittedFraction float64
+	begun            time.Time
 	retry            bool
 	hasSubCalls      atomic.Bool
 	level            atomic.Int64 // highest shedding level observed by its sub-calls, in thousandths
@@ -86,11 +92,16 @@
 // requests of that rank that were admitted at the entry node.
 func (r *Run) Rank() (rank int, admittedFraction float64) { return r.rank, r.admittedFraction }
 
+// Begun returns when the request at the start of the call chain entered.
+func (r *Run) Begun() time.Time { return r.begun }
+
 // Retry reports whether the same call has been sent to another target before.
 func (r *Run) Retry() bool { return r.retry }
 
-// ObserveLevel records the shedding level observed by a sub-call of the run. The highest one is kept.
+// ObserveLevel records the shedding level observed by a sub-call of the run. The highest one is kept. Further calls of
+// the same route are shed by it before they run.
 func (r *Run) ObserveLevel(level float64) {
+	r.levels.Observe(time.Now(), r.route, level)
 	for l := int64(level * levelScale); ; {
 		current := r.level.Load()
 		if l <= current || r.level.CompareAndSwap(current, l) {
@@ -115,7 +126,7 @@
 func New(o Options) *Executor {
 	e := &Executor{
 		tracker: o.Tracker, controller: o.Controller, pool: o.Pool, observer: o.Observer, notice: o.Notice, version: o.Version,
-		started: map[string]struct{}{}, runs: map[string]*Run{},
+		levels: pressure.New(), started: map[string]struct{}{}, runs: map[string]*Run{},
 	}
 	e.pacer = time.AfterFunc(math.MaxInt64, e.startWaiting) // reset when a call waits for the limit on the rate
 	return e
@@ -165,13 +176,16 @@
 // Execute implements mustardmast.Executor.
 func (e *Executor) Execute(ctx context.Context, c *mustardmast.TargetCall) (*mustardmast.TargetReply, mustardmast.TargetReport, error) {
 	e.active.Add(1)
-	run := &Run{priority: c.Priority, rank: c.Rank, admittedFraction: c.AdmittedFraction, retry: c.Retry}
+	run := &Run{route: c.Route, levels: e.levels, priority: c.Priority, rank: c.Rank, begun: c.Begun, retry: c.Retry}
 	reply, err := e.execute(ctx, c, run)
 	if err != nil {
 		e.active.Add(-1)
 	}
 	report := e.Report()
 	report.Level = max(report.Level, float64(run.level.Load())/levelScale)
+	if fault.KindOf(err) == fault.Shed {
+		report.Level = max(report.Level, e.levels.Level(time.Now(), c.Route))
+	}
 	report.HasSubCalls = run.hasSubCalls.Load()
 	return reply, report, err
 }
@@ -184,6 +198,7 @@
 		return nil, err
 	}
 	began := time.Now()
+	r.admittedFraction = c.AdmittedFraction
 	e.setRun(c.ID, r)
 	runCtx, cancel := ctx, func() {}
 	if !c.Repeatable {
@@ -234,7 +249,10 @@
 	if c.Deadline.Sub(now) < minTimeLeft {
 		return nil, fault.New(fault.DeadlinePassed, "not enough time left before the deadline")
 	}
-	ticket, wait := e.controller.Admit(now, admission.Request{SubCall: c.SubCall, Priority: c.Priority, CallerRetry: c.CallerRetry, Rank: c.Rank, AdmittedFraction: c.AdmittedFraction, AlreadyCounted: c.OfferedBefore, MaxWait: c.MaxWait})
+	if err := e.shed(now, c); err != nil {
+		return nil, err
+	}
+	ticket, wait := e.controller.Admit(now, admission.Request{SubCall: c.SubCall, Priority: c.Priority, CallerRetry: c.CallerRetry, Rank: c.Rank, AdmittedFraction: c.AdmittedFraction, AlreadyCounted: c.OfferedBefore, MaxWait: c.MaxWait, Begun: c.Begun})
 	if ticket == nil {
 		return nil, fault.Newf(fault.QueueFull, "estimated wait %v of at most %v", wait, c.MaxWait).WithRetryAfter(wait)
 	}
@@ -251,6 +269,22 @@
 	return ticket, nil
 }
 
+// shed rejects a call whose sub-calls would overload a service downstream. The entry node sheds as well, but it learns of
+// an overload only from the replies to its own requests, after they have run.
+func (e *Executor) shed(now time.Time, c *mustardmast.TargetCall) error {
+	if c.SubCall {
+		return nil
+	}
+	before := c.AdmittedFraction
+	probability, fraction := e.levels.Admission(now, c.Route, pressure.Request{Rank: c.Rank, CallerRetry: c.CallerRetry, AdmittedFraction: before})
+	if rand.Float64() >= probability {
+		return fault.Newf(fault.Shed, "shedding level %.2f downstream, observed %v ago; admitted fraction %.2f, %.2f at the entry node",
+			e.levels.Level(now, c.Route), e.levels.Age(now, c.Route), fraction, before)
+	}
+	c.AdmittedFraction = fraction
+	return nil
+}
+
 // done releases the slot of a call.
 func (e *Executor) done(t *admission.Ticket, completed bool) {
 	e.controller.Done(time.Now(), t, completed)
--- a/io/localtarget/localtarget_test.go
+++ b/io/localtarget/localtarget_test.go
@@ -254,6 +254,44 @@
 	eventually(t, func() bool { return f.ParentRun("a.b") == nil })
 }
 
+// Guards against runs that are begun while a service that their sub-calls need is overloaded: the node beside the target
+// knows that from the sub-calls of earlier runs, before the entry nodes do.
+func TestCallsAreShedByTheLevelsOfSubCalls(t *testing.T) {
+	f := newFixture(t, func(w http.ResponseWriter, r *http.Request) { w.Header().Set("Request-Id", r.Header.Get("Request-Id")) })
+	routed := func(id, route string, rank int) *mustardmast.TargetCall {
+		c := call(id)
+		c.Route, c.Rank, c.AdmittedFraction = route, rank, 1
+		return c
+	}
+	first := routed("a", "chain/", 0)
+	reply, _, err := f.Execute(context.Background(), first)
+	assert.NilError(t, err)
+	f.ParentRun("a.1").ObserveLevel(0.9)
+	assert.NilError(t, reply.Body.Close())
+	shed := 0
+	for n := range 200 {
+		c := routed(strconv.Itoa(n), "chain/", 0)
+		reply, report, err := f.Execute(context.Background(), c)
+		if err == nil {
+			assert.NilError(t, reply.Body.Close())
+			assert.Assert(t, c.AdmittedFraction < 0.2, "the demand must count the calls that were shed")
+			continue
+		}
+		assert.Equal(t, fault.From(err).Kind(), fault.Shed)
+		assert.Equal(t, fault.From(err).Outcome(), fault.NotExecuted)
+		assert.Assert(t, report.Level > 0.8, "the entry node must learn the level")
+		shed++
+	}
+	assert.Assert(t, shed > 150 && shed < 199, "%d of 200", shed)
+	assert.NilError(t, f.run(context.Background(), routed("other", "other/", 0)))
+	assert.NilError(t, f.run(context.Background(), routed("important", "chain/", 1)))
+	for n := range 20 {
+		sub := routed("x."+strconv.Itoa(n), "chain/", 0)
+		sub.SubCall = true
+		assert.NilError(t, f.run(context.Background(), sub), "the sub-call of a running request")
+	}
+}
+
 // newNoticeFixture returns an executor in front of a target with 20 slots that responds with the given header fields.
 func newNoticeFixture(t *testing.T, respond func(h http.Header) int) *fixture {
 	t.Helper()
--- a/io/placement/attempt.go
+++ b/io/placement/attempt.go
@@ -17,6 +17,7 @@
 type attempt struct {
 	placer         *Placer
 	call           *mustardmast.TargetCall
+	waitingSince   time.Time // when the call was placed, or when a target was last reached
 	body           func() io.Reader
 	observeLevel   func(level float64)
 	maxTries       int             // maximum number of targets that the call may reach
@@ -190,6 +191,7 @@
 func (a *attempt) copy() mustardmast.TargetCall {
 	c := *a.call
 	c.OfferedBefore = a.offers > 1
+	c.MaxWait = max(0, c.MaxWait-time.Since(a.waitingSince)) // a call waits once, not once at each node
 	if a.body != nil {
 		c.Body = a.body()
 	}
@@ -236,6 +238,11 @@
 // record updates the sets of hosts that the call has reached and that are excluded from further offers.
 func (a *attempt) record(o outcome) {
 	a.hasSubCalls = o.hasSubCalls
+	defer func() {
+		if a.reached[o.host] {
+			a.waitingSince = time.Now()
+		}
+	}()
 	if o.err == nil {
 		a.reached[o.host] = true
 		return
@@ -319,6 +326,8 @@
 	switch f.Kind() {
 	case fault.TargetRefused, fault.WrongIncarnation:
 		return a.allowRetry(time.Now())
+	case fault.Shed: // other nodes would shed it too
+		return false
 	case fault.Canceled, fault.DeadlineExceeded, fault.DeadlinePassed, fault.BadRequest:
 		a.mayHaveRun = a.mayHaveRun || f.Outcome() != fault.NotExecuted
 		return false
--- a/io/placement/placement.go
+++ b/io/placement/placement.go
@@ -90,7 +90,7 @@
 	} else {
 		p.budget.RecordRequest(time.Now(), c.Service)
 	}
-	a := &attempt{placer: p, call: c, body: body, maxTries: maxTries, observeLevel: observeLevel, excluded: map[string]bool{}, reached: map[string]bool{}}
+	a := &attempt{placer: p, call: c, waitingSince: time.Now(), body: body, maxTries: maxTries, observeLevel: observeLevel, excluded: map[string]bool{}, reached: map[string]bool{}}
 	for {
 		host, ok := a.choose(ctx)
 		if !ok {
--- a/io/placement/placement_test.go
+++ b/io/placement/placement_test.go
@@ -40,3 +40,39 @@
 	assert.Equal(t, f.Kind(), fault.Canceled)
 	assert.Equal(t, f.Outcome(), fault.NotExecuted)
 }
+
+// full is an executor whose queue is full: it rejects each call after the time that the call may wait.
+type full struct{ offers int }
+
+func (e *full) Execute(_ context.Context, c *mustardmast.TargetCall) (*mustardmast.TargetReply, mustardmast.TargetReport, error) {
+	e.offers++
+	time.Sleep(c.MaxWait)
+	return nil, mustardmast.TargetReport{Ready: true}, fault.New(fault.QueueFull, "")
+}
+
+func (e *full) Exchange(m hostlink.GossipMessage) hostlink.GossipMessage { return m }
+func (e *full) ConfigDocument() []byte                                   { return nil }
+
+// Guards against a call that waits for a slot at one node after another, each time for the longest time that it may: it is
+// then rejected too late for its caller to use another place.
+func TestCallWaitsOnceForAllNodes(t *testing.T) {
+	const maxWait = 150 * time.Millisecond
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	other := &full{}
+	s := hostlink.NewServer(other, other)
+	go func() { _ = s.Serve(l) }()
+	defer func() { _ = s.Close() }()
+	link := hostlink.NewClient(net.IPv4(127, 0, 0, 1), func(string) {})
+	defer link.Close()
+	hosts := roster.New(roster.Record{Host: "h1", Service: "board", Ready: true}, 1)
+	hosts.Merge(roster.Record{Host: "h2", Address: l.Addr().String(), Service: "board", Ready: true}, false)
+	own := &full{}
+	p := placement.New(hosts, own, link, retrybudget.New(retrybudget.Spec{Ratio: 0.2, Slack: 10, Window: time.Second}), pressure.New(), observer{})
+	c := &mustardmast.TargetCall{ID: "a", Service: "board", Deadline: time.Now().Add(5 * time.Second), MaxWait: maxWait}
+	began := time.Now()
+	_, err = p.Place(context.Background(), c, func() io.Reader { return nil }, 2, nil)
+	assert.Equal(t, fault.From(err).Outcome(), fault.NotExecuted)
+	assert.Equal(t, own.offers+other.offers, 2)
+	assert.Assert(t, time.Since(began) < maxWait*3/2, "%v", time.Since(began))
+}
