core/roster, io/fleet: a host that has left stays away

Cause: a node that left for good went on sending its own record until its process ended, and a direct message restored its host at the receiver. A node that had missed the message of the leaving kept the record, gave it to nodes that started later, and its digest differed from all others, so that every gossip round with it carried all records. Change: a removal names the start of the node that has left. A record of the same start does not restore the host, also not a direct one; a later start does. If the digests of two nodes differ, the reply carries the removals as well. Removals are bounded.

--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -91,14 +91,14 @@
 	mu           sync.Mutex
 	members      map[string]*member
 	sorted       []*member        // the members by host name
-	removed      map[string]int64 // start of removed hosts by host name
+	removals     map[string]int64 // start of removed hosts by host name
 	rand         *rand.Rand
 	candidateBuf []*member // reused by Choose, which runs for each call
 }
 
 // New returns a roster that contains only the node's own host.
 func New(self Record, seed uint64) *Roster {
-	r := &Roster{self: self, members: map[string]*member{}, removed: map[string]int64{}, rand: rand.New(rand.NewPCG(seed, seed))}
+	r := &Roster{self: self, members: map[string]*member{}, removals: map[string]int64{}, rand: rand.New(rand.NewPCG(seed, seed))}
 	r.insert(self)
 	return r
 }
@@ -147,13 +147,13 @@
 	if update.Host == r.self.Host {
 		return false
 	}
-	if started, wasRemoved := r.removed[update.Host]; wasRemoved && !direct && update.Started <= started {
-		return false
+	if started, removed := r.removals[update.Host]; removed && (update.Started == started || !direct && update.Started < started) {
+		return false // a late message, also if the host itself sent it
 	}
 	m := r.members[update.Host]
 	if m == nil {
 		r.insert(update)
-		delete(r.removed, update.Host)
+		delete(r.removals, update.Host)
 		return true
 	}
 	if !direct && !update.newer(m.record) {
@@ -172,15 +172,56 @@
 	return true
 }
 
-// Remove deletes a host that has left permanently. Later records of the same start are ignored unless they come from
-// the host itself.
-func (r *Roster) Remove(host string) {
+// Removal tells that a host has left for good.
+type Removal struct {
+	Host    string
+	Started int64 // start of the node that has left, in Unix milliseconds
+}
+
+// maxRemovals bounds the removals that are remembered; at the bound, the one of the earliest start is dropped.
+const maxRemovals = 1024
+
+// Remove deletes a host that has left for good, unless it has started again since. Later records of the same or an
+// earlier start are ignored. It returns false if the host is not known with that start or an earlier one.
+func (r *Roster) Remove(x Removal) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if m := r.members[host]; m != nil && host != r.self.Host {
-		r.removed[host] = m.record.Started
-		r.delete(host)
+	m := r.members[x.Host]
+	if x.Host == r.self.Host || m != nil && m.record.Started > x.Started {
+		return false
 	}
+	if started, ok := r.removals[x.Host]; !ok || started < x.Started {
+		r.remember(x)
+	}
+	if m != nil {
+		r.delete(x.Host)
+	}
+	return m != nil
+}
+
+func (r *Roster) remember(x Removal) {
+	if len(r.removals) >= maxRemovals {
+		earliest := x
+		for host, started := range r.removals {
+			if started < earliest.Started {
+				earliest = Removal{host, started}
+			}
+		}
+		delete(r.removals, earliest.Host)
+	}
+	r.removals[x.Host] = x.Started
+}
+
+// Removals returns the hosts that have left for good, by host name.
+func (r *Roster) Removals() []Removal {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var out []Removal
+	for host, started := range r.removals {
+		out = append(out, Removal{host, started})
+	}
+	slices.SortFunc(out, func(a, b Removal) int { return strings.Compare(a.Host, b.Host) })
+	return out
 }
 
 // Records returns all hosts, including this node's, by host name.
--- a/core/roster/roster_test.go
+++ b/core/roster/roster_test.go
@@ -143,12 +143,50 @@
 	assert.Assert(t, r.Merge(newer, false))
 	assert.Assert(t, !r.Merge(record("x", "a"), false))
 	assert.Assert(t, r.Merge(old, true), "a direct update counts although the clock of the host has gone back")
-	r.Remove("x")
+	assert.Assert(t, r.Remove(roster.Removal{Host: "x"}))
 	assert.Assert(t, !r.Merge(old, false))
 	assert.Assert(t, r.Merge(record("x", "a"), false), "a later start is accepted")
 	assert.Assert(t, !r.Merge(roster.Record{Host: "self", Service: "other", Started: 99}, false), "other nodes can't change the record of the node's own host")
 }
 
+// Guards against a host that has left and is in use again, because a late message of its own, or the record of a node that
+// has missed its leaving, restores it.
+func TestHostThatHasLeftStaysAway(t *testing.T) {
+	known := record("x", "a")
+	removal := roster.Removal{Host: "x", Started: known.Started}
+	informed := newRoster(known)
+	assert.Assert(t, informed.Remove(removal))
+	assert.Assert(t, !informed.Merge(known, true), "a probe that the host sent before it left arrives late")
+	assert.Assert(t, !informed.Merge(known, false), "a node that has missed the message still has the record")
+
+	restarted := newRoster()
+	assert.Assert(t, restarted.Merge(known, false), "a node that has just started gets the record from a node that missed the message")
+	for _, r := range informed.Removals() {
+		assert.Assert(t, restarted.Remove(r))
+	}
+	_, ok := restarted.Choose(start, roster.Criteria{Service: known.Service})
+	assert.Assert(t, !ok)
+
+	again := known
+	again.Started++
+	assert.Assert(t, informed.Merge(again, true), "the host has started again")
+	assert.Assert(t, !informed.Remove(removal), "a late message about the earlier start")
+	assert.Equal(t, informed.Size(), 2)
+}
+
+// Guards against removals that fill the memory of a node.
+func TestRemovalsAreBounded(t *testing.T) {
+	r := newRoster()
+	for n := range 5000 {
+		r.Remove(roster.Removal{Host: fmt.Sprint("h", n), Started: int64(n)})
+	}
+	removals := r.Removals()
+	assert.Equal(t, len(removals), 1024)
+	for _, x := range removals {
+		assert.Assert(t, x.Started >= 5000-1024, "%v", x)
+	}
+}
+
 // Guards against herding: senders that all choose the fastest target at once. 12 senders share 3 targets of unequal
 // speed at 0.8 of their capacity, each with the load reports of its own replies only. The queue of a target must not
 // grow beyond a part of its slots while other targets have free slots.
--- a/io/fleet/fleet.go
+++ b/io/fleet/fleet.go
@@ -254,7 +254,7 @@
 	if msg.Digest != 0 && f.hostsKnown.Load() {
 		reply.Digest = digest(records)
 		if msg.Digest != reply.Digest {
-			reply.Hosts = records
+			reply.Hosts, reply.Removals = records, f.roster.Removals()
 		}
 	}
 	if !f.hostsKnown.Load() && msg.From.Host != "" {
@@ -275,13 +275,14 @@
 			f.log.Write(eventlog.HostUp, zap.String("host", msg.From.Host))
 		}
 	}
+	for _, r := range msg.Removals {
+		if f.roster.Remove(r) {
+			f.log.Write(eventlog.HostLeft, zap.String("host", r.Host), zap.Int64("started-ms", r.Started), zap.String("from", msg.From.Host))
+		}
+	}
 	for _, r := range msg.Hosts {
 		f.merge(r, false)
 	}
-	for _, host := range msg.RemovedHosts {
-		f.roster.Remove(host)
-		f.log.Write(eventlog.HostLeft, zap.String("host", host), zap.String("from", msg.From.Host))
-	}
 	if msg.Version > f.Version() {
 		f.FetchNewerConfig(msg.From.Host, msg.Version)
 	}
@@ -319,7 +320,7 @@
 		ctx, cancel := context.WithTimeout(f.ctx, messageTimeout)
 		defer cancel()
 		// A host that does not receive the message will mark this one as down.
-		if _, err := f.link.Exchange(ctx, r.Address, hostlink.GossipMessage{From: self, RemovedHosts: []string{self.Host}, Version: f.Version()}); err != nil {
+		if _, err := f.link.Exchange(ctx, r.Address, hostlink.GossipMessage{From: self, Removals: []roster.Removal{{Host: self.Host, Started: self.Started}}, Version: f.Version()}); err != nil {
 			f.log.Write(eventlog.HostDown, zap.String("host", r.Host), zap.Error(fault.Wrap(err, fault.PeerUnreachable, "leaving")))
 		}
 	}).Wait()
--- a/io/hostlink/hostlink_test.go
+++ b/io/hostlink/hostlink_test.go
@@ -32,7 +32,7 @@
 }
 
 func (n *node) Exchange(in hostlink.GossipMessage) hostlink.GossipMessage {
-	n.message.RemovedHosts = in.RemovedHosts
+	n.message.Removals = in.Removals
 	return n.message
 }
 
@@ -129,9 +129,9 @@
 func TestGossipExchange(t *testing.T) {
 	r := roster.Record{Host: "h2", Address: "10.0.0.2:1", FailureDomain: "b", Service: "watch", Started: 5, Sequence: 6, Ready: true}
 	address, c := serve(t, &node{message: hostlink.GossipMessage{From: r, Hosts: []roster.Record{r}, Version: 9, Digest: 1 << 63}})
-	got, err := c.Exchange(context.Background(), address, hostlink.GossipMessage{From: r, RemovedHosts: []string{"h3"}})
+	got, err := c.Exchange(context.Background(), address, hostlink.GossipMessage{From: r, Removals: []roster.Removal{{Host: "h3", Started: 4}}})
 	assert.NilError(t, err)
-	assert.DeepEqual(t, got, hostlink.GossipMessage{From: r, Hosts: []roster.Record{r}, RemovedHosts: []string{"h3"}, Version: 9, Digest: 1 << 63})
+	assert.DeepEqual(t, got, hostlink.GossipMessage{From: r, Hosts: []roster.Record{r}, Removals: []roster.Removal{{Host: "h3", Started: 4}}, Version: 9, Digest: 1 << 63})
 	raw, err := c.FetchConfig(context.Background(), address)
 	assert.NilError(t, err)
 	assert.Equal(t, string(raw), "document")
--- a/io/hostlink/server.go
+++ b/io/hostlink/server.go
@@ -36,11 +36,11 @@
 
 // GossipMessage is what nodes exchange about the hosts.
 type GossipMessage struct {
-	From         roster.Record
-	Hosts        []roster.Record // hosts known to the sender; sent if the digests differ
-	RemovedHosts []string        // hosts that have been removed for good
-	Version      uint64          // version of the configuration of the sender
-	Digest       uint64          // digest of the hosts known to the sender; 0 if not sent
+	From     roster.Record
+	Hosts    []roster.Record  // hosts known to the sender; sent if the digests differ
+	Removals []roster.Removal // hosts that have left for good; sent by those that leave, and if the digests differ
+	Version  uint64           // version of the configuration of the sender
+	Digest   uint64           // digest of the hosts known to the sender; 0 if not sent
 }
 
 // GossipHandler processes the gossip message of another node and returns that of this node.
@@ -60,12 +60,17 @@
 	Ready    bool   `json:"ready"`
 }
 
+type wireRemoval struct {
+	Host    string `json:"host"`
+	Started int64  `json:"started-ms"`
+}
+
 type wireMessage struct {
-	From    wireRecord   `json:"from"`
-	Hosts   []wireRecord `json:"hosts,omitempty"`
-	Left    []string     `json:"left,omitempty"`
-	Version uint64       `json:"version"`
-	Digest  uint64       `json:"digest,omitempty"`
+	From    wireRecord    `json:"from"`
+	Hosts   []wireRecord  `json:"hosts,omitempty"`
+	Left    []wireRemoval `json:"left,omitempty"`
+	Version uint64        `json:"version"`
+	Digest  uint64        `json:"digest,omitempty"`
 }
 
 func recordToWire(r roster.Record) wireRecord {
@@ -77,18 +82,24 @@
 }
 
 func messageToWire(m GossipMessage) wireMessage {
-	w := wireMessage{From: recordToWire(m.From), Left: m.RemovedHosts, Version: m.Version, Digest: m.Digest}
+	w := wireMessage{From: recordToWire(m.From), Version: m.Version, Digest: m.Digest}
 	for _, r := range m.Hosts {
 		w.Hosts = append(w.Hosts, recordToWire(r))
 	}
+	for _, r := range m.Removals {
+		w.Left = append(w.Left, wireRemoval{Host: r.Host, Started: r.Started})
+	}
 	return w
 }
 
 func messageFromWire(w wireMessage) GossipMessage {
-	m := GossipMessage{From: recordFromWire(w.From), RemovedHosts: w.Left, Version: w.Version, Digest: w.Digest}
+	m := GossipMessage{From: recordFromWire(w.From), Version: w.Version, Digest: w.Digest}
 	for _, r := range w.Hosts {
 		m.Hosts = append(m.Hosts, recordFromWire(r))
 	}
+	for _, r := range w.Left {
+		m.Removals = append(m.Removals, roster.Removal{Host: r.Host, Started: r.Started})
+	}
 	return m
 }
 
