core/closing, sidecar: end a planned stop as early as before

Cause: requests of clients that fit into the grace period were accepted until its end. Change: requests of clients are accepted until they can know of the stop, as before, if they fit. The answers to what is abandoned are written before the time at which the process has always ended, 0.3 s before the end of the grace period. Result: TestRequestsLateInTheGraceOfAPlannedStop and TestRequestsThatTakeAsLongAsTheyMay pass. Failed tries: accepting whatever fits until the end, see above.

--- a/core/closing/closing.go
+++ b/core/closing/closing.go
@@ -2,10 +2,10 @@
 //
 // Load pattern: clients go on sending to a node that is stopping, at first because they have not been told to use other
 // nodes yet, and later because they retry or because too few other nodes are left. A request that is accepted too late
-// is cut off when the process ends. A request that must not run twice is therefore accepted only if the longest time
-// that it may take fits into the time left. A repeatable one is also accepted if 99% of the requests of its route take
-// less than that, while clients cannot know of the stop yet; the calls of running requests are until the end, because
-// the requests that made them would fail without.
+// is cut off when the process ends. Requests of clients are accepted while clients cannot know of the stop yet, and calls
+// of running requests until the end, because the requests that made them would fail without. A request that must not run
+// twice is accepted only if the longest time that it may take fits into the time left. For a repeatable one it is
+// enough that 99% of the requests of its route take less.
 package closing
 
 import (
@@ -84,9 +84,11 @@
 	}
 	left := s.end.Sub(now)
 	switch {
+	case !r.SubCall && now.After(s.noticed):
+		return false // the sooner the stop ends, the sooner the node is back
 	case r.Limit <= left:
 		return true
-	case !r.Repeatable || !r.SubCall && now.After(s.noticed):
+	case !r.Repeatable:
 		return false
 	}
 	usual, known := g.usual(r.Route)
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -44,9 +44,9 @@
 	// noticePeriod is the time until clients use other nodes: the platform checks readiness once a second, and considers
 	// a node not ready after two failed checks.
 	noticePeriod = 2500 * time.Millisecond
-	// responseReserve is the time before the end of the grace period that is kept for responses in progress, and
-	// abandonReserve the part of it in which the requests that have not ended by then are answered.
-	responseReserve   = 300 * time.Millisecond
+	// exitReserve is the time before the end of the grace period at which the process ends, and abandonReserve the time
+	// before that in which the requests that have not ended by then are answered.
+	exitReserve       = 300 * time.Millisecond
 	abandonReserve    = 200 * time.Millisecond
 	drainPollInterval = 50 * time.Millisecond
 	// probeInterval is the time between two requests to the target's health path, and configPollInterval between two
@@ -258,7 +258,7 @@
 // most until the end of the grace period.
 func (s *Sidecar) stop(callers *httpdrain.Server) {
 	start := time.Now()
-	deadline := start.Add(s.settings.Load().GracePeriod() - responseReserve)
+	deadline := start.Add(s.settings.Load().GracePeriod() - exitReserve - abandonReserve)
 	notice := min(noticePeriod, s.settings.Load().GracePeriod()/2)
 	s.gate.Close(start.Add(notice), deadline)
 	s.reporter.draining.Store(true)
