io/placement, core/roster: a repeatable call to a host that has vanished is sent to another in time

Cause: a call was hedged after seven times its usual duration and its wait for a slot, which for the calls of a chain is more than half of their time. Change: a call is also hedged when its host has replied to no call for the time after which it is silent, which now counts the requests that wait at the host. Result: TestCallToVanishedHostIsSentToAnother fails before (deadline of 0.7 s), passes.

--- a/core/roster/choose.go
+++ b/core/roster/choose.go
@@ -86,16 +86,41 @@
 	return float64(max(m.outstanding, m.report.Running+m.report.Waiting)) / float64(m.report.Limit)
 }
 
-// silent reports whether m has left its outstanding requests without a reply for much longer than their duration.
-func (m *member) silent(now time.Time, bestDuration time.Duration) bool {
-	if m.outstanding == 0 || m.waitingSince.IsZero() {
-		return false
-	}
+// silenceLimit returns the time without any reply to outstanding requests after which m is silent.
+func (m *member) silenceLimit(bestDuration time.Duration) time.Duration {
 	duration := bestDuration
 	if m.reported {
 		duration = m.report.Duration
+		if m.report.Limit > 0 { // those that wait there
+			duration += duration * time.Duration(m.report.Waiting) / time.Duration(m.report.Limit)
+		}
+	}
+	return max(minSilence, minSilentDurations*duration)
+}
+
+// silent reports whether m has left its outstanding requests without a reply for much longer than their duration.
+func (m *member) silent(now time.Time, bestDuration time.Duration) bool {
+	return m.outstanding > 0 && !m.waitingSince.IsZero() && now.Sub(m.waitingSince) >= m.silenceLimit(bestDuration)
+}
+
+// SilenceLimit returns the time without any reply to outstanding requests after which a host is silent; 0 if the host is
+// not known.
+func (r *Roster) SilenceLimit(host string) time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	m := r.members[host]
+	if m == nil {
+		return 0
 	}
-	return now.Sub(m.waitingSince) > max(minSilence, minSilentDurations*duration)
+	return m.silenceLimit(r.bestDuration(m.record.Service))
+}
+
+// Silent reports whether a host has left the requests sent to it without any reply for its SilenceLimit.
+func (r *Roster) Silent(now time.Time, host string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	m := r.members[host]
+	return m != nil && m.silent(now, r.bestDuration(m.record.Service))
 }
 
 // cost returns the expected cost of sending a request to m, as a duration in ns with penalties.
--- a/io/placement/attempt.go
+++ b/io/placement/attempt.go
@@ -75,28 +75,59 @@
 	return o.err == nil && o.reply.Status < http.StatusInternalServerError
 }
 
-// offer offers the call to a host. A repeatable call that takes much longer than usual is hedged: it is sent to a
-// second host as well, the first successful reply is returned, and the other run is canceled.
+// offer offers the call to a host. A repeatable call that takes much longer than usual, or whose host has not replied to
+// any call for some time, is hedged: it is sent to a second host as well, the first successful reply is returned, and the
+// other run is canceled.
 func (a *attempt) offer(ctx context.Context, host roster.Record) (*mustardmast.TargetReply, error) {
-	report, _, _ := a.placer.roster.LastReport(time.Now(), host.Host)
-	hedgeDelay := max(minHedgeDelay, hedgeDelayFactor*report.Duration+a.call.MaxWait)
-	if !a.call.Repeatable || a.body == nil || report.Duration == 0 || len(a.reached) >= a.maxTries-1 ||
-		hedgeDelay > time.Duration(maxHedgeDelayFraction*float64(time.Until(a.call.Deadline))) {
+	delays := a.hedgeDelays(host)
+	if len(delays) == 0 {
 		return a.finish(a.send(ctx, host, a.offerNumber(), a.copy()))
 	}
+	began := time.Now()
 	first := a.start(ctx, host)
-	timer := time.NewTimer(hedgeDelay)
+	timer := time.NewTimer(delays[0].after)
 	defer timer.Stop()
-	select {
-	case o := <-first.outcome:
-		return a.finish(o)
-	case <-timer.C:
+	for _, d := range delays {
+		timer.Reset(time.Until(began.Add(d.after)))
+		select {
+		case o := <-first.outcome:
+			return a.finish(o)
+		case <-timer.C:
+		}
+		if d.ifSilent && !a.placer.roster.Silent(time.Now(), host.Host) {
+			continue
+		}
+		if hedge, ok := a.hedge(host); ok {
+			return a.race(first, a.start(ctx, hedge))
+		}
+	}
+	return a.finish(<-first.outcome)
+}
+
+// hedgeDelay is a time after an offer at which the call is hedged.
+type hedgeDelay struct {
+	after    time.Duration
+	ifSilent bool // only if the host is silent then
+}
+
+// hedgeDelays returns the times at which a call to a host is hedged, none if it must not be or if too little time is left
+// for a second target to respond.
+func (a *attempt) hedgeDelays(host roster.Record) []hedgeDelay {
+	report, _, _ := a.placer.roster.LastReport(time.Now(), host.Host)
+	if !a.call.Repeatable || a.body == nil || report.Duration == 0 || len(a.reached) >= a.maxTries-1 {
+		return nil
+	}
+	latest := time.Duration(maxHedgeDelayFraction * float64(time.Until(a.call.Deadline)))
+	slow := hedgeDelay{after: max(minHedgeDelay, hedgeDelayFactor*report.Duration+a.call.MaxWait)}
+	silent := hedgeDelay{after: a.placer.roster.SilenceLimit(host.Host), ifSilent: true}
+	var delays []hedgeDelay
+	if silent.after < slow.after && silent.after <= latest {
+		delays = append(delays, silent)
 	}
-	hedge, ok := a.hedge(host)
-	if !ok {
-		return a.finish(<-first.outcome)
+	if slow.after <= latest {
+		delays = append(delays, slow)
 	}
-	return a.race(first, a.start(ctx, hedge))
+	return delays
 }
 
 // finish records the outcome of an offer that is not hedged.
--- a/io/placement/placement.go
+++ b/io/placement/placement.go
@@ -25,7 +25,7 @@
 	maxRefusedOffers = 8
 	// A repeatable call is hedged, that is sent to a second target, after hedgeDelayFactor times its usual duration
 	// plus its wait for a slot, but not before minHedgeDelay. Noisy neighbors and cold starts increase the duration by
-	// less.
+	// less. It is hedged earlier if its host is silent; see package roster.
 	hedgeDelayFactor = 7
 	minHedgeDelay    = 180 * time.Millisecond
 	// maxHedgeDelayFraction is the maximum fraction of the time left that may pass before a hedge, so that the second
--- a/io/placement/placement_test.go
+++ b/io/placement/placement_test.go
@@ -4,6 +4,8 @@
 	"context"
 	"io"
 	"net"
+	"net/http"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -76,3 +78,56 @@
 	assert.Equal(t, own.offers+other.offers, 2)
 	assert.Assert(t, time.Since(began) < maxWait*3/2, "%v", time.Since(began))
 }
+
+// target is an executor that replies after a time, or never.
+type target struct {
+	after time.Duration // negative for never
+	runs  atomic.Int64
+}
+
+func (e *target) Execute(ctx context.Context, _ *mustardmast.TargetCall) (*mustardmast.TargetReply, mustardmast.TargetReport, error) {
+	e.runs.Add(1)
+	if e.after < 0 {
+		<-ctx.Done()
+		return nil, mustardmast.TargetReport{}, fault.Wrap(ctx.Err(), fault.Canceled, "")
+	}
+	time.Sleep(e.after)
+	return &mustardmast.TargetReply{Status: http.StatusOK, Body: http.NoBody}, mustardmast.TargetReport{Ready: true, Service: "watch", Limit: 59, Duration: e.after}, nil
+}
+
+func (e *target) Exchange(m hostlink.GossipMessage) hostlink.GossipMessage { return m }
+func (e *target) ConfigDocument() []byte                                   { return nil }
+
+// A host vanishes without closing its connections, as one that loses power. Guards against calls that had been sent to it
+// and wait until their deadline, although a repeatable call has time for a second host: each costs the run that made it.
+func TestCallToVanishedHostIsSentToAnother(t *testing.T) {
+	vanished, healthy := &target{after: -1}, &target{after: 30 * time.Millisecond}
+	hosts := roster.New(roster.Record{Host: "h0", Service: "board", Ready: true}, 1)
+	for name, e := range map[string]*target{"h1": vanished, "h2": healthy} {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		assert.NilError(t, err)
+		s := hostlink.NewServer(e, e)
+		go func() { _ = s.Serve(l) }()
+		defer func() { _ = s.Close() }()
+		hosts.Merge(roster.Record{Host: name, Address: l.Addr().String(), Service: "watch", Ready: true}, false)
+	}
+	link := hostlink.NewClient(net.IPv4(127, 0, 0, 1), func(string) {})
+	defer link.Close()
+	p := placement.New(hosts, nil, link, retrybudget.New(retrybudget.Spec{Ratio: 0.2, Slack: 100, Window: 10 * time.Second}), pressure.New(), observer{})
+	for _, repeatable := range []bool{true, false} {
+		before := healthy.runs.Load()
+		for name, duration := range map[string]time.Duration{"h1": 30 * time.Millisecond, "h2": 60 * time.Millisecond} { // the vanished one is preferred
+			hosts.RecordReply(time.Now(), name, mustardmast.TargetReport{Ready: true, Service: "watch", Limit: 59, Duration: duration}, true, false)
+		}
+		c := &mustardmast.TargetCall{ID: "a.b", Service: "watch", SubCall: true, Repeatable: repeatable, MaxWait: 350 * time.Millisecond, Deadline: time.Now().Add(700 * time.Millisecond)}
+		ctx, cancel := context.WithDeadline(context.Background(), c.Deadline)
+		defer cancel()
+		_, err := p.Place(ctx, c, func() io.Reader { return nil }, 2, nil)
+		if repeatable {
+			assert.NilError(t, err)
+		} else if healthy.runs.Load() > before {
+			t.Fatal("a call that must not run twice was sent to a second host")
+		}
+	}
+	assert.Equal(t, vanished.runs.Load(), int64(2))
+}
