--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 # Keeps the flags of the environment, such as those set by go env -w.
 export GOFLAGS := $(shell $(GO) env GOFLAGS) -buildvcs=false
 
-.PHONY: build test demo measure capacity overhead soak generate fmt lint ci
+.PHONY: build test fuzz demo measure capacity overhead soak generate fmt lint ci
 
 build:
 	$(GO) build -o bin/ ./cmd/...
@@ -17,6 +17,15 @@
 	$(GO) test -race -timeout 20m $(SKIP) $$($(GO) list ./... | grep -v /internal/deploy)
 	$(GO) test -race -timeout 20m -count=1 $(SKIP) ./internal/deploy
 
+# Parsers of text that others have written, each with new inputs for FUZZ_SECONDS.
+FUZZ_SECONDS ?= 600
+FUZZ := io/rawjson:FuzzSplit io/hostlink:FuzzHeads platform:FuzzHeartbeat platform:FuzzDocument platform:FuzzSettings \
+	platform:FuzzTargetHeaders platform:FuzzHosts
+fuzz:
+	@set -e; for f in $(FUZZ); do \
+		$(GO) test ./$${f%%:*} -run '^$$' -fuzz "^$${f##*:}\$$" -fuzztime $(FUZZ_SECONDS)s -parallel 2; \
+	done
+
 measure:
 	$(GO) run ./cmd/measure
 
