--- a/core/admission/admission.go
+++ b/core/admission/admission.go
@@ -5,8 +5,8 @@
 // priority of the request at the root of their call chain. Within a priority, sub-calls of running requests go first,
 // then retries by callers that were rejected before, and then the chains that entered first. In an overload, chains that
 // are close to their end so complete, and those that have just begun wait or fail at their first call; in the order of
-// arrival, each call of each chain would wait, and all chains would be late. A request is rejected immediately if its estimated wait exceeds
-// its limit, so that its sender has time to try another target.
+// arrival, each call of each chain would wait, and all chains would be late. A request is rejected immediately if its
+// estimated wait exceeds its limit, so that its sender has time to try another target.
 //
 // The controller also computes the level at which entry nodes should shed load. Each request carries the fraction of
 // requests of its kind that the entry node admitted, so the demand before shedding is known, and the level is computed
--- a/core/pressure/fleet_test.go
+++ b/core/pressure/fleet_test.go
@@ -15,6 +15,7 @@
 // clock runs events in the order of their times.
 type clock struct {
 	now    time.Time
+	added  int // events so far
 	events events
 }
 
@@ -39,7 +40,8 @@
 }
 
 func (c *clock) after(d time.Duration, run func()) {
-	heap.Push(&c.events, event{c.now.Add(d), len(c.events) + int(c.now.Sub(start)), run})
+	c.added++
+	heap.Push(&c.events, event{at: c.now.Add(d), sequence: c.added, run: run})
 }
 
 func (c *clock) run() {
