io/hostlink: only the dialing side resets a connection that is given up

Cause, found by reading: both sides reset a connection whose peer does not respond. On the accepting side that discards the replies of calls that have ended but were not delivered yet, as in a cut of some seconds, among them replies to calls that must not run twice, which their callers still wait for. Change: the accepting side closes in order, as before, so that the replies arrive when the peer is back. No test shows the loss: it takes data that the other host's kernel has not confirmed, which a relay on one machine cannot hold back.

--- a/io/hostlink/conn.go
+++ b/io/hostlink/conn.go
@@ -330,8 +330,9 @@
 	c.streams, c.writeBuf = nil, nil
 	c.timer.Stop()
 	c.mu.Unlock()
-	if tcp, ok := c.net.(*net.TCPConn); ok && errors.Is(err, errPingTimeout) {
-		_ = tcp.SetLinger(0) // calls that have been given up must not arrive when the peer is back; if it fails, they may
+	if tcp, ok := c.net.(*net.TCPConn); ok && c.onCall == nil && errors.Is(err, errPingTimeout) {
+		// Calls that have been given up must not arrive when the peer is back. The accepting side still delivers replies.
+		_ = tcp.SetLinger(0) // if it fails, they may arrive
 	}
 	_ = c.net.Close() // a close error adds nothing to err
 	if c.onClose != nil {
