io/localtarget, io/hostlink, sidecar: names and files after a read of the diff

Change: Run and the test of odd entries are in files of their own; a stream is kept, not patient; handlePingTimeout. No behaviour changes. Result: tests of the packages pass. Failed tries: none.

--- a/io/hostlink/conn.go
+++ b/io/hostlink/conn.go
@@ -118,7 +118,7 @@
 func (c *conn) keep(s *stream) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	s.patient = true
+	s.kept = true
 }
 
 // checkLiveness runs on the timer. It ends calls in flight if the peer does not respond to a ping, and closes a connection
@@ -160,16 +160,16 @@
 		c.mu.Unlock()
 	default:
 		c.mu.Unlock()
-		c.fallSilent()
+		c.handlePingTimeout()
 	}
 }
 
-// fallSilent ends the calls that are not kept while the peer is silent, and the connection if there are no others.
-func (c *conn) fallSilent() {
+// handlePingTimeout ends the calls that are not kept while the peer is silent, and the connection if there are no others.
+func (c *conn) handlePingTimeout() {
 	c.mu.Lock()
 	var ended []*stream
 	for id, s := range c.streams {
-		if !s.patient {
+		if !s.kept {
 			ended = append(ended, s)
 			delete(c.streams, id)
 		}
--- a/io/hostlink/stream.go
+++ b/io/hostlink/stream.go
@@ -20,7 +20,7 @@
 	window    *sendWindow
 	head      chan reply // nil on the serving side
 	onAbort   func()     // called when the peer cancels the call or the connection is lost; may be nil
-	patient   bool       // kept while the connection is silent; guarded by conn.mu
+	kept      bool       // kept while the connection is silent; guarded by conn.mu
 	replyOnce sync.Once
 }
 
--- a/io/localtarget/localtarget.go
+++ b/io/localtarget/localtarget.go
@@ -72,46 +72,6 @@
 	runs          map[string]*Run     // by the id of the call
 }
 
-// Run is a call that is running on the target.
-type Run struct {
-	route            string
-	levels           *pressure.Levels
-	priority         int
-	rank             int
-	admittedFraction float64
-	begun            time.Time
-	retry            bool
-	hasSubCalls      atomic.Bool
-	level            atomic.Int64 // highest shedding level observed by its sub-calls, in thousandths
-}
-
-// Priority returns the priority of the request at the start of the call chain.
-func (r *Run) Priority() int { return r.priority }
-
-// Rank returns the rank of that request, that is its number of priority steps above the lowest one, and the fraction of
-// requests of that rank that were admitted at the entry node.
-func (r *Run) Rank() (rank int, admittedFraction float64) { return r.rank, r.admittedFraction }
-
-// Begun returns when the request at the start of the call chain entered.
-func (r *Run) Begun() time.Time { return r.begun }
-
-// Retry reports whether the same call has been sent to another target before.
-func (r *Run) Retry() bool { return r.retry }
-
-// ObserveLevel records the shedding level observed by a sub-call of the run. The highest one is kept. Further calls of
-// the same route are shed by it before they run.
-func (r *Run) ObserveLevel(level float64) {
-	r.levels.Observe(time.Now(), r.route, level)
-	for l := int64(level * levelScale); ; {
-		current := r.level.Load()
-		if l <= current || r.level.CompareAndSwap(current, l) {
-			return
-		}
-	}
-}
-
-const levelScale = 1000
-
 // Options are the parameters and dependencies of an Executor.
 type Options struct {
 	Tracker    *lifetime.Tracker // of the target on which calls are executed
