io/hostlink, io/message: an answer that broke off no longer looks complete

Cause: a connection that ends between two frames fails with io.EOF. Its streams failed with the same error, which the reader of a body takes for the end of a complete one; the entry node then corrected the length. The same for uploads whose entry node is killed.

Streams now fail with io.ErrUnexpectedEOF instead, both ends of a link compare a body with its declared length, and a reply that is shorter is answer-cut, which is retried where the call is repeatable. On related paths: HTTP/1.0 clients, for which the end of the connection is the end of the answer, get a reset (both programs); a panic of mustardmast node in the middle of an answer no longer completes it with an error message.

--- a/io/caller/server.go
+++ b/io/caller/server.go
@@ -125,15 +125,15 @@
 		header.WriteError(w, r.Call.ID(), err)
 		return
 	}
-	s.writeResponse(w, r.Call.ID(), reply.Response)
+	s.writeResponse(w, q, r.Call.ID(), reply.Response)
 }
 
 // writeResponse writes a target's response and counts the result. message.WriteResponse panics when the response breaks
 // off; the call is then counted as fault.AnswerCut.
-func (s *Server) writeResponse(w http.ResponseWriter, id string, r *message.Response) {
+func (s *Server) writeResponse(w http.ResponseWriter, q *http.Request, id string, r *message.Response) {
 	kind, outcome := fault.AnswerCut, fault.AnswerCut.Properties().Outcome
 	defer func() { s.options.Meter.CallEnded(kind, outcome) }()
-	message.WriteResponse(w, id, r)
+	message.WriteResponse(w, q, id, r)
 	kind, outcome = fault.None, fault.Executed
 }
 
--- a/io/hostlink/client.go
+++ b/io/hostlink/client.go
@@ -21,6 +21,7 @@
 
 	"mustardmast"
 	"mustardmast/core/fault"
+	"mustardmast/io/message"
 )
 
 const dialTimeout = 300 * time.Millisecond // round trips within a region take milliseconds
@@ -193,10 +194,11 @@
 	}
 	if r.last {
 		s.finish(true)
-		out.Body = io.NopCloser(bytes.NewReader(r.body))
+		out.Body = message.CheckedBody(io.NopCloser(bytes.NewReader(r.body)), out.Length)
 		return out, report, true, nil
 	}
-	out.Body = &replyBody{stream: s, stop: context.AfterFunc(ctx, func() { s.recv.fail(ctx.Err()) })}
+	body := &replyBody{stream: s, stop: context.AfterFunc(ctx, func() { s.recv.fail(ctx.Err()) })}
+	out.Body = message.CheckedBody(body, out.Length)
 	return out, report, true, nil
 }
 
--- a/io/hostlink/server.go
+++ b/io/hostlink/server.go
@@ -20,6 +20,7 @@
 	"mustardmast"
 	"mustardmast/core/fault"
 	"mustardmast/core/roster"
+	"mustardmast/io/message"
 )
 
 const (
@@ -243,6 +244,7 @@
 	if c.Method == http.MethodHead {
 		reply.Length = 0 // responses to HEAD have no body
 	}
+	reply.Body = message.CheckedBody(reply.Body, reply.Length)
 	first, complete, err := readFirstChunk(reply)
 	kind := byte(kindReply)
 	if complete {
@@ -273,7 +275,7 @@
 		n += m
 	}
 	if err == io.EOF { // io.ReadFull would return the same error for a truncated body
-		return first[:n], r.Length < 0 || int64(n) == r.Length, nil
+		return first[:n], true, nil
 	}
 	return first[:n], false, err
 }
--- a/io/hostlink/stream.go
+++ b/io/hostlink/stream.go
@@ -96,7 +96,7 @@
 	buffer := make([]byte, chunkSize)
 	for {
 		n, err := r.Read(buffer)
-		last := errors.Is(err, io.EOF)
+		last := err == io.EOF // a wrapped io.EOF is a failure
 		if err != nil && !last {
 			return err
 		}
@@ -139,8 +139,12 @@
 	m.cond.Broadcast()
 }
 
-// fail sets the error, unless there is one already, and wakes all waiting goroutines.
+// fail sets the error, unless there is one already, and wakes all waiting goroutines. The end of a connection is not the
+// end of a body, so io.EOF becomes io.ErrUnexpectedEOF.
 func (m *monitor) fail(err error) {
+	if errors.Is(err, io.EOF) {
+		err = io.ErrUnexpectedEOF
+	}
 	m.update(func() {
 		if m.err == nil {
 			m.err = err
--- a/io/ingress/ingress.go
+++ b/io/ingress/ingress.go
@@ -120,7 +120,7 @@
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	h.active.Add(1)
 	defer h.active.Add(-1)
-	defer h.recoverPanic(r)
+	defer h.recoverPanic(w, r)
 	began := time.Now()
 	if h.options.Draining() {
 		w.Header().Set("Connection", "close")
@@ -146,19 +146,19 @@
 	err = h.writeReply(w, reply)
 	h.options.Observer.RequestCompleted(q.call, reply.Status, err, time.Since(began))
 	if err != nil {
-		panic(http.ErrAbortHandler) // closes the connection, so that a truncated response does not look complete
+		message.Abort(w, r)
 	}
 }
 
 // recoverPanic reports a panic, unless it is http.ErrAbortHandler, and closes the connection.
-func (h *Handler) recoverPanic(r *http.Request) {
+func (h *Handler) recoverPanic(w http.ResponseWriter, r *http.Request) {
 	switch cause := recover(); cause {
 	case nil:
 	case http.ErrAbortHandler:
 		panic(cause)
 	default:
 		h.options.Observer.Panicked(r.Header.Get(h.options.Names.RequestID), cause)
-		panic(http.ErrAbortHandler)
+		message.Abort(w, r)
 	}
 }
 
--- a/io/message/stream.go
+++ b/io/message/stream.go
@@ -17,9 +17,8 @@
 	return &b
 }}
 
-// WriteResponse writes a response to w and closes its body. If the body is truncated, it aborts the connection or
-// stream, so that the client does not take the response for complete.
-func WriteResponse(w http.ResponseWriter, id string, r *Response) {
+// WriteResponse writes the response to a request q to w and closes its body. If the body is truncated, it calls Abort.
+func WriteResponse(w http.ResponseWriter, q *http.Request, id string, r *Response) {
 	defer func() { _ = r.Body.Close() }()
 	h := w.Header()
 	CopyHeader(h, r.Header)
@@ -32,7 +31,7 @@
 	}
 	w.WriteHeader(r.Status)
 	if err := copyBody(w, r); err != nil {
-		panic(http.ErrAbortHandler)
+		Abort(w, q)
 	}
 }
 
--- a/io/peer/server.go
+++ b/io/peer/server.go
@@ -71,7 +71,7 @@
 			header.WriteError(w, r.Call.ID(), err)
 			return
 		}
-		message.WriteResponse(w, r.Call.ID(), reply.Response)
+		message.WriteResponse(w, q, r.Call.ID(), reply.Response)
 	})
 }
 
--- a/io/placement/reply.go
+++ b/io/placement/reply.go
@@ -19,6 +19,9 @@
 		b.Grow(int(r.Length) + bytes.MinRead)
 	}
 	n, err := b.ReadFrom(io.LimitReader(r.Body, maxBufferedReply))
+	if err == nil && n < maxBufferedReply && r.Length > n {
+		err = io.ErrUnexpectedEOF
+	}
 	if err != nil {
 		_ = r.Body.Close() // the read has already failed
 		if ctx.Err() != nil {
@@ -30,9 +33,7 @@
 		r.Body = &streamedReply{Reader: io.MultiReader(&b, r.Body), Closer: r.Body, done: func() {}}
 		return r, nil
 	}
-	if err := r.Body.Close(); err != nil && r.Length > n {
-		return nil, fault.Wrap(err, fault.AnswerCut, "the reply was truncated")
-	}
+	_ = r.Body.Close() // the reply has been read completely
 	r.Body, r.Length = io.NopCloser(&b), n
 	return r, nil
 }
--- a/io/targetconn/exchange.go
+++ b/io/targetconn/exchange.go
@@ -143,7 +143,7 @@
 				return err
 			}
 		}
-		if errors.Is(err, io.EOF) {
+		if err == io.EOF { //nolint:errorlint // a wrapped io.EOF is a failure
 			_, err = io.WriteString(cn, "0\r\n\r\n")
 			return err
 		}
@@ -215,5 +215,9 @@
 	}
 	header := make(http.Header, len(resp.Header))
 	message.CopyHeader(header, resp.Header)
-	return &mustardmast.TargetReply{Status: resp.StatusCode, Header: header, Length: resp.ContentLength, Body: body}, nil
+	length := resp.ContentLength
+	if resp.Request.Method == http.MethodHead {
+		length = 0 // the declared length is that of the response to GET
+	}
+	return &mustardmast.TargetReply{Status: resp.StatusCode, Header: header, Length: length, Body: body}, nil
 }
--- a/node/adapters.go
+++ b/node/adapters.go
@@ -6,6 +6,7 @@
 	"runtime/debug"
 	"sync/atomic"
 
+	"github.com/urfave/negroni/v3"
 	"go.uber.org/zap"
 
 	"mustardmast"
@@ -16,6 +17,7 @@
 	"mustardmast/io/dispatch"
 	"mustardmast/io/eventlog"
 	"mustardmast/io/header"
+	"mustardmast/io/message"
 )
 
 // idIssuer implements caller.IDIssuer: it issues request ids in text form.
@@ -71,6 +73,9 @@
 			panic(p)
 		}
 		r.log.Write(eventlog.HandlerPanicked, zap.Any("panic", p), zap.ByteString("stack", debug.Stack()))
+		if started, ok := w.(negroni.ResponseWriter); ok && started.Written() {
+			message.Abort(w, q) // an error message would complete the truncated response
+		}
 		header.WriteError(w, q.Header.Get(header.RequestID), fault.New(fault.Internal, "the handler panicked"))
 	}()
 	next(w, q)
--- a/sidecar/sidecar_test.go
+++ b/sidecar/sidecar_test.go
@@ -87,6 +87,31 @@
 	assert.Equal(t, resp.StatusCode, 0, "%.40s", got)
 }
 
+// Guards against a truncated response that looks complete to an HTTP/1.0 client, for which the end of the connection is
+// the end of a response without a length.
+func TestTruncatedResponseToHTTP10Client(t *testing.T) {
+	c := newCluster(t)
+	entry, board := c.add("ledger", "a"), c.add("board", "a")
+	resume := make(chan struct{})
+	board.target.setHandler(func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = io.WriteString(w, strings.Repeat("x", 600_000))
+		<-resume
+		panic(http.ErrAbortHandler)
+	})
+	conn, err := net.Dial("tcp", entry.ip+":8304")
+	assert.NilError(t, err)
+	defer func() { _ = conn.Close() }()
+	_, err = io.WriteString(conn, "GET /board/ HTTP/1.0\r\nHost: a.example\r\nAttempt-Id: x1\r\nDeadline-Ms: 5000\r\n\r\n")
+	assert.NilError(t, err)
+	head := make([]byte, 15)
+	_, err = io.ReadFull(conn, head)
+	assert.NilError(t, err)
+	assert.Equal(t, string(head), "HTTP/1.0 200 OK")
+	close(resume)
+	n, err := io.Copy(io.Discard, conn)
+	assert.Assert(t, err != nil, "%d bytes look complete", n)
+}
+
 // Guards against a target that gets requests after its node has acknowledged that it is draining.
 func TestDrainingTargetGetsNoRequests(t *testing.T) {
 	c := newCluster(t)
