io/crash: detect crashes of a target in one place, for both programs

Taken out of io/execute, so that mustardmast sidecar can use it. Two rules are stricter, as calls that only happen to be in flight become suspects by them: a target has crashed if its address refuses a connection, no longer if dialing fails in another way; and a target that accepts a connection and closes it has crashed only if no other call in flight has kept its own. A target that resets new connections because it has too many is no crash.

--- a/daemon/providers.go
+++ b/daemon/providers.go
@@ -238,7 +238,7 @@
 	}
 }
 
-// crashNotifier implements execute.CrashNotifier. It exchanges the evidence of a crash with the other nodes of the service.
+// crashNotifier implements crash.Notifier. It exchanges the evidence of a crash with the other nodes of the service.
 type crashNotifier struct{ control *control.Control }
 
 func (n crashNotifier) NotifyCrash(ctx context.Context, service string, updates []quarantine.Update) {
--- a/io/execute/executor.go
+++ b/io/execute/executor.go
@@ -18,6 +18,7 @@
 	"mustardmast/core/level"
 	"mustardmast/core/quarantine"
 	"mustardmast/core/register"
+	"mustardmast/io/crash"
 	"mustardmast/io/message"
 	"mustardmast/io/target"
 )
@@ -52,7 +53,7 @@
 type Executor struct {
 	options       Options
 	attempts      attempts
-	crashDetector *crashDetector
+	crashDetector *crash.Detector[*Execution]
 	waiters       waiters
 	lastTicket    atomic.Uint64
 	inFlight      atomic.Int64
@@ -69,7 +70,7 @@
 	RunningCalls  *RunningCalls
 	Register      *register.Register
 	Quarantine    *quarantine.Quarantine
-	CrashNotifier CrashNotifier
+	CrashNotifier crash.Notifier
 	Levels        *level.Table
 	SubCallLevels *level.SubCalls
 	Meter         mustardmast.Meter
@@ -78,10 +79,10 @@
 
 // New returns an executor.
 func New(options Options) *Executor {
-	return &Executor{options: options, attempts: attempts{options.Register}, crashDetector: &crashDetector{
-		id: options.Self.ID, quarantine: options.Quarantine, running: options.RunningCalls, notifier: options.CrashNotifier,
-		onCrash: options.OnCrash,
-	}}
+	return &Executor{options: options, attempts: attempts{options.Register}, crashDetector: crash.New(crash.Options[*Execution]{
+		Node: options.Self.ID, Quarantine: options.Quarantine, InFlight: options.RunningCalls.snapshot, Notifier: options.CrashNotifier,
+		OnCrash: options.OnCrash,
+	})}
 }
 
 // Tick advances the admission controller. It must be called periodically, by the timer service.
@@ -189,7 +190,7 @@
 	}
 	x.options.RunningCalls.add(e)
 	run.start = x.options.Clock.Now()
-	res, err := x.sendToTarget(ctx, run.start, r, env)
+	res, err := x.sendToTarget(ctx, run.start, r, env, e)
 	if err != nil {
 		run.finish(0, err)
 		return nil, e, err
@@ -203,7 +204,7 @@
 
 // sendToTarget checks readiness, deadline and register again and sends the request to the target. The process may have
 // been paused since the call was admitted, so now must be read immediately before the call of sendToTarget.
-func (x *Executor) sendToTarget(ctx context.Context, now time.Time, r *message.Request, env Envelope) (*message.Response, error) {
+func (x *Executor) sendToTarget(ctx context.Context, now time.Time, r *message.Request, env Envelope, e *Execution) (*message.Response, error) {
 	a, err := x.checkReady(now, r.Call)
 	if err != nil {
 		return nil, x.attempts.reject(now, r.Call, env, err)
@@ -211,11 +212,13 @@
 	if err := x.attempts.start(now, r.Call, env); err != nil {
 		return nil, err
 	}
-	sent := targetCall{target: a, lastHeartbeat: x.options.Local.LastHeartbeat(), start: now}
+	sent := crash.Sent{Address: a.Address.String(), Service: a.Service, At: now, Alive: x.options.Local.LastHeartbeat()}
 	res, err := x.options.Sender.Send(ctx, a, now, r, callForTarget(r.Call))
 	if err != nil {
 		x.attempts.end(x.options.Clock.Now(), r.Call, env, err)
-		x.crashDetector.callFailed(x.options.Clock.Now(), sent, err)
+		if fault.KindOf(err) == fault.TargetFailed {
+			x.crashDetector.ConnectionLost(x.options.Clock.Now(), e, sent)
+		}
 	}
 	return res, err
 }
--- a/node/cluster_test.go
+++ b/node/cluster_test.go
@@ -115,7 +115,7 @@
 	return mustardmast.Member{}, false
 }
 
-// NotifyCrash implements execute.CrashNotifier. It delivers the updates to every node immediately.
+// NotifyCrash implements crash.Notifier. It delivers the updates to every node immediately.
 func (c *cluster) NotifyCrash(_ context.Context, _ string, updates []quarantine.Update) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/node/node.go
+++ b/node/node.go
@@ -32,6 +32,7 @@
 	"mustardmast/core/retry"
 	"mustardmast/core/trace"
 	"mustardmast/io/caller"
+	"mustardmast/io/crash"
 	"mustardmast/io/dispatch"
 	"mustardmast/io/eventlog"
 	"mustardmast/io/execute"
@@ -67,7 +68,7 @@
 	Configs        caller.Configs
 	Register       *register.Register      // shared with the control service, which serves queries from it
 	Quarantine     *quarantine.Quarantine  // shared with the control service, which gossips its updates
-	CrashNotifier  execute.CrashNotifier   // notifies other nodes when the target has crashed
+	CrashNotifier  crash.Notifier          // notifies other nodes when the target has crashed
 	AttemptQuerier dispatch.AttemptQuerier // queries other nodes for the status of an attempt
 	Log            *eventlog.Log
 	Meter          mustardmast.Meter // nil collects no metrics
