sidecar: a request that crashes targets is stopped after the third crash

Cause: only mustardmast node looked for such requests. The sidecar knew neither content nor crashes.

The entry node now sends a hash of the request's content along, the node beside the target records the requests in flight at a crash and tells the nodes of its service before it answers the lost calls. A request in flight at two crashes runs alone on one host, to which other nodes offer it; if the target crashes then, it is rejected with 503 for ten minutes. A completion clears it. A suspect runs where it has not been in flight at a crash, as a target that crashes with any request would convict it. Evidence is given to a node that has started by its peers.

--- a/core/fault/error.go
+++ b/core/fault/error.go
@@ -13,6 +13,7 @@
 	outcome    Outcome
 	detail     string
 	retryAfter time.Duration
+	onlyHost   string
 	cause      error
 }
 
@@ -40,6 +41,13 @@
 	return &c
 }
 
+// WithOnlyHost returns a copy that names the only host on which the request may run.
+func (e *Error) WithOnlyHost(host string) *Error {
+	c := *e
+	c.onlyHost = host
+	return &c
+}
+
 // WithOutcome returns a copy with an outcome other than that of its kind, for example for a resend that is shed
 // although the first attempt may have been executed.
 func (e *Error) WithOutcome(o Outcome) *Error {
@@ -75,6 +83,9 @@
 // RetryAfter returns how long the caller is to wait before it retries, or 0.
 func (e *Error) RetryAfter() time.Duration { return e.retryAfter }
 
+// OnlyHost returns the name of the only host on which the request may run, or "" if it may run on any.
+func (e *Error) OnlyHost() string { return e.onlyHost }
+
 // From returns err as an *Error. An error without a kind becomes Internal, whose outcome is Unknown.
 func From(err error) *Error {
 	if err == nil {
--- a/core/lifetime/lifetime.go
+++ b/core/lifetime/lifetime.go
@@ -142,6 +142,18 @@
 	return t.latest.StartedMS == lifetime.StartedMS || lifetime.Assumed && t.latest.StartedMS <= sent.UnixMilli()
 }
 
+// HasAnnouncedEnd reports whether a lifetime has deregistered, or has stated that it is shutting down.
+func (t *Tracker) HasAnnouncedEnd(lifetime Target) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, ended := range []map[string]int64{t.deregistered, t.leaving} {
+		if start, ok := ended[lifetime.ID]; ok && lifetime.StartedMS <= start {
+			return true
+		}
+	}
+	return t.state == Draining && t.latest.ID == lifetime.ID && t.latest.StartedMS == lifetime.StartedMS
+}
+
 // MarkLeaving records that the response to a call has stated that its lifetime shuts down. Lifetime is what Target
 // returned before the call was sent, or an assumed one that only the response has named. Later announcements do not make
 // it ready again. MarkLeaving returns false if the current target stays as it was.
--- a/core/quarantine/evidence.go
+++ b/core/quarantine/evidence.go
@@ -57,15 +57,20 @@
 	return xxhash.Sum64(b[:])
 }
 
-// crashID returns the id of a crash, which is the same at all nodes that report it.
+// crashID returns the id of a crash, which is the same at all nodes that report it. Its bits 32 to 62 tell the node.
 func crashID(node mustardmast.NodeID, number uint32, isolated bool) uint64 {
-	id := eventID(node, uint64(number))
+	id := uint64(nodeTag(node))<<32 | uint64(number)
 	if isolated {
-		return id &^ sharedTargetBit
+		return id
 	}
 	return id | sharedTargetBit
 }
 
+// nodeTag returns the 31 bits that stand for a node in the ids of its crashes.
+func nodeTag(node mustardmast.NodeID) uint32 { return uint32(eventID(node, 0) >> 33) }
+
+func (c crash) nodeTag() uint32 { return uint32(c.id &^ sharedTargetBit >> 32) }
+
 func (c crash) isolated() bool { return c.id&sharedTargetBit == 0 }
 
 // evidence is what is known about one fingerprint. Nodes that exchange their evidence converge: crashes form a set that
@@ -130,6 +135,13 @@
 	}
 }
 
+// crashedAt reports whether the target of a node has crashed since oldest.
+func (e evidence) crashedAt(tag uint32, oldest time.Time) bool {
+	return slices.ContainsFunc(e.crashes, func(c crash) bool {
+		return c.nodeTag() == tag && c.at.After(oldest) && c.at.After(e.cleared.at)
+	})
+}
+
 // completionDiscounts reports whether a completion at now would discount any crash.
 func (e evidence) completionDiscounts(now time.Time) bool {
 	return slices.ContainsFunc(e.crashes, func(c crash) bool {
--- a/core/quarantine/quarantine.go
+++ b/core/quarantine/quarantine.go
@@ -95,7 +95,7 @@
 	case Quarantined:
 		return mustardmast.Member{}, false, quarantinedError()
 	case Suspect:
-		member, ok := IsolationNode(f, serving)
+		member, ok := IsolationNode(f, q.spared(now, f, serving))
 		return member, ok, nil
 	default:
 		return mustardmast.Member{}, false, nil
@@ -117,7 +117,7 @@
 	if st == Clear {
 		return false, nil
 	}
-	if member, ok := IsolationNode(f, serving); ok && member.ID != q.self {
+	if member, ok := IsolationNode(f, q.spared(now, f, serving)); ok && member.ID != q.self {
 		return false, shedError("a request that is suspected of crashing targets is executed at one node only")
 	}
 	if !q.isolated.CompareAndSwap(0, uint64(f)) {
@@ -126,6 +126,28 @@
 	return true, nil
 }
 
+// spared returns the members whose targets have not crashed with the fingerprint in flight, or all if there is none. At
+// another target a suspect proves more: one that has crashed may crash with any request.
+func (q *Quarantine) spared(now time.Time, f Fingerprint, serving []mustardmast.Member) []mustardmast.Member {
+	s := q.shard(f)
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	e, ok := s.entries[f]
+	if !ok {
+		return serving
+	}
+	spared := make([]mustardmast.Member, 0, len(serving))
+	for _, m := range serving {
+		if !e.crashedAt(nodeTag(m.ID), now.Add(-EvidenceTTL)) {
+			spared = append(spared, m)
+		}
+	}
+	if len(spared) == 0 {
+		return serving
+	}
+	return spared
+}
+
 func quarantinedError() error {
 	return fault.New(fault.Quarantined, "a request with this method, backer and content crashed the target that executed it in isolation")
 }
@@ -161,6 +183,9 @@
 // the target to become idle did not run in isolation, even if copies of it that started earlier were in flight.
 func (q *Quarantine) RecordCrash(now time.Time, node mustardmast.NodeID, number uint32, inFlight []Fingerprint) {
 	for _, f := range inFlight {
+		if f == 0 {
+			continue // unknown content
+		}
 		isolated := node == q.self && len(inFlight) == 1 && q.isolated.Load() == uint64(f)
 		q.mergeEvidence(now, f, evidence{crashes: []crash{{id: crashID(node, number, isolated), at: now}}})
 	}
--- a/core/quarantine/quarantine_test.go
+++ b/core/quarantine/quarantine_test.go
@@ -276,3 +276,20 @@
 		}
 	})
 }
+
+// Guards against a suspect that runs alone at a target which crashes with every request, and is convicted there.
+func TestSuspectRunsWhereItHasNotCrashed(t *testing.T) {
+	all := members(1, 2, 3, 4)
+	for f := quarantine.Fingerprint(1); f < 50; f++ {
+		q := quarantine.New(1)
+		q.RecordCrash(start, 2, 1, []quarantine.Fingerprint{f, 1000})
+		q.RecordCrash(start.Add(time.Second), 3, 1, []quarantine.Fingerprint{f, 1001})
+		m, suspect, err := q.Check(start.Add(2*time.Second), f, all)
+		assert.NilError(t, err)
+		assert.Assert(t, suspect)
+		assert.Assert(t, m.ID == 1 || m.ID == 4, "member %d", m.ID)
+		m, suspect, err = q.Check(start.Add(2*time.Second), f, all[1:3])
+		assert.NilError(t, err)
+		assert.Assert(t, suspect && (m.ID == 2 || m.ID == 3), "without another member")
+	}
+}
--- a/core/quarantine/updates.go
+++ b/core/quarantine/updates.go
@@ -55,6 +55,17 @@
 // GossipUpdates returns evidence to gossip, of at most maxBytes bytes: the least often sent first, and among those the
 // strongest evidence.
 func (q *Quarantine) GossipUpdates(now time.Time, maxBytes int) []Update {
+	return q.collect(now, maxBytes, true)
+}
+
+// Updates returns all evidence, of at most maxBytes bytes, for a node that has just started.
+func (q *Quarantine) Updates(now time.Time, maxBytes int) []Update {
+	return q.collect(now, maxBytes, false)
+}
+
+// collect returns evidence of at most maxBytes bytes. For gossip, it counts how often evidence is sent and omits what has
+// been sent maxSends times.
+func (q *Quarantine) collect(now time.Time, maxBytes int, gossip bool) []Update {
 	type item struct {
 		f     Fingerprint
 		sends int
@@ -65,8 +76,11 @@
 		s := &q.shards[i]
 		s.mu.RLock()
 		for f, e := range s.entries {
-			if e.sends < maxSends {
-				st, _ := e.state(now.Add(-EvidenceTTL))
+			st, _ := e.state(now.Add(-EvidenceTTL))
+			switch {
+			case !gossip:
+				candidates = append(candidates, item{f: f, state: st})
+			case e.sends < maxSends:
 				candidates = append(candidates, item{f: f, sends: e.sends, state: st})
 			}
 		}
@@ -84,7 +98,9 @@
 			u := e.update(now, it.f)
 			if ok = u.Size() <= maxBytes; ok {
 				maxBytes -= u.Size()
-				e.sends++
+				if gossip {
+					e.sends++
+				}
 				updates = append(updates, u)
 			}
 		}
--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -9,10 +9,13 @@
 import (
 	"math/rand/v2"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"mustardmast"
 )
 
@@ -56,6 +59,11 @@
 	Ready                                 bool // its target accepts requests; true unless known otherwise
 }
 
+// NodeID identifies the node process that has sent the record.
+func (r Record) NodeID() mustardmast.NodeID {
+	return mustardmast.NodeID(xxhash.Sum64String(r.Host + "/" + strconv.FormatInt(r.Started, 10)))
+}
+
 // Unreadable describes an entry of the store that is not the valid record of a host.
 type Unreadable struct {
 	Name     string // empty if not even that can be decoded
@@ -235,6 +243,19 @@
 	return out
 }
 
+// Serving returns the hosts whose targets accept requests of a service, as far as they can be reached.
+func (r *Roster) Serving(service string) []mustardmast.Member {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var out []mustardmast.Member
+	for _, m := range r.sorted {
+		if m.record.Service == service && m.record.Ready && !m.down {
+			out = append(out, mustardmast.Member{ID: m.record.NodeID(), Name: m.record.Host, Service: service, State: mustardmast.Ready})
+		}
+	}
+	return out
+}
+
 // Size returns the number of hosts, including this node's.
 func (r *Roster) Size() int {
 	r.mu.Lock()
--- a/execution.go
+++ b/execution.go
@@ -20,6 +20,7 @@
 	Header    http.Header // end-to-end fields
 	Body      io.Reader   // nil for none
 	Length    int64       // of the body; -1 if unknown
+	Content   uint64      // equal for calls that differ in their id and framing only; 0 if unknown
 	Priority  int         // of the root request of the call chain; 0 is the most important
 
 	Rank             int     // priority steps of the root request above the lowest priority
--- a/io/decisions/decisions.go
+++ b/io/decisions/decisions.go
@@ -19,6 +19,7 @@
 	"mustardmast/core/admission"
 	"mustardmast/core/fault"
 	"mustardmast/core/lifetime"
+	"mustardmast/core/quarantine"
 	"mustardmast/io/eventlog"
 	"mustardmast/io/placement"
 	"mustardmast/io/telemetry"
@@ -226,6 +227,14 @@
 // TargetLeaving implements localtarget.Observer.
 func (r *Recorder) TargetLeaving(id string) { r.leaving(id) }
 
+// TargetCrashed implements localtarget.Observer.
+func (r *Recorder) TargetCrashed(t lifetime.Target, inFlight int, quarantined []quarantine.Fingerprint) {
+	r.log.Write(eventlog.TargetCrashed, zap.String("target", t.ID), zap.String("service", t.Service), zap.Int("in-flight", inFlight))
+	for _, f := range quarantined {
+		r.log.Write(eventlog.RequestQuarantined, zap.String("fingerprint", strconv.FormatUint(uint64(f), 16)))
+	}
+}
+
 // RateLimitChanged implements localtarget.Observer.
 func (r *Recorder) RateLimitChanged(id string, limit float64) {
 	if r.allowLine(&r.notices, maxServedLinesPerSecond) {
--- a/io/fleet/fleet.go
+++ b/io/fleet/fleet.go
@@ -21,6 +21,7 @@
 
 	"mustardmast"
 	"mustardmast/core/fault"
+	"mustardmast/core/quarantine"
 	"mustardmast/core/roster"
 	"mustardmast/core/routing"
 	"mustardmast/io/eventlog"
@@ -46,6 +47,9 @@
 	decode func(raw []byte) (*routing.Table, error)
 	log    *eventlog.Log
 
+	quarantine    *quarantine.Quarantine
+	evidenceUntil atomic.Int64 // until when this node requests all evidence, in Unix nanoseconds
+
 	document   atomic.Pointer[document]
 	hostsKnown atomic.Bool // hosts have been read from the store or from another node
 	storeUp    atomic.Bool
@@ -57,14 +61,16 @@
 	stop       context.CancelFunc
 }
 
-// New returns a fleet without hosts and configuration. Decode decodes a configuration that another node has sent.
-func New(r *roster.Roster, link *hostlink.Client, s Store, t mustardmast.Timers, decode func([]byte) (*routing.Table, error), l *eventlog.Log) *Fleet {
+// New returns a fleet without hosts and configuration. Decode decodes a configuration that another node has sent. Evidence
+// in q is exchanged with the nodes of the same service.
+func New(r *roster.Roster, link *hostlink.Client, s Store, t mustardmast.Timers, decode func([]byte) (*routing.Table, error), q *quarantine.Quarantine, l *eventlog.Log) *Fleet {
 	ctx, stop := context.WithCancel(context.Background())
-	return &Fleet{roster: r, link: link, store: s, timers: t, decode: decode, log: l, logged: map[string]uint64{}, ctx: ctx, stop: stop}
+	return &Fleet{roster: r, link: link, store: s, timers: t, decode: decode, quarantine: q, log: l, logged: map[string]uint64{}, ctx: ctx, stop: stop}
 }
 
 // Start starts reading the store and exchanging messages with other nodes.
 func (f *Fleet) Start() {
+	f.requestEvidence()
 	go f.followConfiguration()
 	go f.join()
 	f.timers.Every(probePeriod, func(now time.Time) {
@@ -72,7 +78,11 @@
 			go f.probe(r)
 		}
 	})
-	f.timers.Every(gossipPeriod, func(time.Time) { go f.syncWithRandomHost() })
+	f.timers.Every(gossipPeriod, func(now time.Time) {
+		f.quarantine.Tick(now)
+		go f.syncWithRandomHost()
+		go f.gossipEvidence()
+	})
 }
 
 // Stop ends what Start has started and cancels calls in progress.
@@ -170,6 +180,9 @@
 
 // UpdateSelf changes the record of this host and sends it to the other nodes if it differs.
 func (f *Fleet) UpdateSelf(service string, ready bool) {
+	if service != f.roster.Self().Service {
+		f.requestEvidence()
+	}
 	if r, changed := f.roster.UpdateSelf(service, ready); changed {
 		f.log.Write(eventlog.HostChanged, zap.String("host", r.Host), zap.String("service", service), zap.Bool("ready", ready), zap.Uint64("sequence", r.Sequence))
 		f.announceToAll()
@@ -227,6 +240,7 @@
 		return
 	}
 	defer f.exchanging.Delete(r.Host)
+	msg.WantEvidence = f.timers.Now().UnixNano() < f.evidenceUntil.Load()
 	reply, err := f.link.Exchange(ctx, r.Address, msg)
 	if err != nil {
 		if f.ctx.Err() == nil && f.roster.MarkDown(f.timers.Now(), r.Host) {
@@ -250,7 +264,7 @@
 func (f *Fleet) Exchange(msg hostlink.GossipMessage) hostlink.GossipMessage {
 	f.applyMessage(msg)
 	records := f.roster.Records()
-	reply := hostlink.GossipMessage{From: f.roster.Self(), Version: f.Version()}
+	reply := hostlink.GossipMessage{From: f.roster.Self(), Version: f.Version(), Evidence: f.evidenceFor(msg)}
 	if msg.Digest != 0 && f.hostsKnown.Load() {
 		reply.Digest = digest(records)
 		if msg.Digest != reply.Digest {
@@ -283,6 +297,7 @@
 	for _, r := range msg.Hosts {
 		f.merge(r, false)
 	}
+	f.quarantine.Merge(f.timers.Now(), msg.Evidence)
 	if msg.Version > f.Version() {
 		f.FetchNewerConfig(msg.From.Host, msg.Version)
 	}
--- a/io/hostlink/codec.go
+++ b/io/hostlink/codec.go
@@ -62,6 +62,9 @@
 
 func (d *decoder) failTruncated() { d.err, d.data = errors.New("truncated head"), "" }
 
+// ended reports whether all fields have been read.
+func (d *decoder) ended() bool { return len(d.data) == 0 }
+
 func (d *decoder) uvarint() uint64 {
 	var u uint64
 	for i := 0; i < len(d.data) && i < binary.MaxVarintLen64; i++ {
@@ -133,6 +136,7 @@
 		e.number(n)
 	}
 	e.header(c.Header)
+	e.number(int64(c.Content))
 	return e.data
 }
 
@@ -156,6 +160,9 @@
 		c.Body = http.NoBody
 	}
 	c.Header = d.header()
+	if !d.ended() { // an older node does not send it
+		c.Content = uint64(d.number())
+	}
 	return c, d.err
 }
 
@@ -200,6 +207,7 @@
 	e.text(f.Outcome().String())
 	e.number(f.RetryAfter().Microseconds())
 	e.text(f.Detail())
+	e.text(f.OnlyHost())
 	return e.data
 }
 
@@ -217,6 +225,9 @@
 		if retryAfter > 0 {
 			f = f.WithRetryAfter(retryAfter)
 		}
+		if !d.ended() { // an older node does not send it
+			f = f.WithOnlyHost(d.text())
+		}
 		remoteErr = f
 	} else {
 		reply = &mustardmast.TargetReply{Status: int(d.number()), Length: d.number(), Header: d.header()}
--- a/io/hostlink/hostlink_test.go
+++ b/io/hostlink/hostlink_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"math"
 	"net"
 	"net/http"
 	"strconv"
@@ -15,6 +16,7 @@
 
 	"mustardmast"
 	"mustardmast/core/fault"
+	"mustardmast/core/quarantine"
 	"mustardmast/core/roster"
 	"mustardmast/io/hostlink"
 )
@@ -53,7 +55,7 @@
 func call() *mustardmast.TargetCall {
 	return &mustardmast.TargetCall{
 		ID: "a.b", Service: "watch", Route: "q.example/x/", Version: 7, EntryHost: "h1", Method: "PATCH", URI: "/x/%2f?q=1", Host: "q.example",
-		Header: http.Header{"Accept": {"*/*"}}, Priority: 2, Rank: 1, AdmittedFraction: 0.25, Repeatable: true, SubCall: true, Retry: true, OfferedBefore: true,
+		Header: http.Header{"Accept": {"*/*"}}, Content: 1<<63 | 5, Priority: 2, Rank: 1, AdmittedFraction: 0.25, Repeatable: true, SubCall: true, Retry: true, OfferedBefore: true,
 		Begun: time.Now().Add(-time.Second), Deadline: time.Now().Add(2 * time.Second), MaxWait: 30 * time.Millisecond,
 	}
 }
@@ -115,6 +117,7 @@
 		fault.New(fault.QueueFull, "estimated wait exceeds the maximum").WithRetryAfter(70 * time.Millisecond),
 		fault.New(fault.TargetFailed, "reset\nby peer"),
 		fault.New(fault.Draining, "").WithOutcome(fault.Unknown),
+		fault.New(fault.Shed, "on one host only").WithOnlyHost("h2"),
 	} {
 		address, c := serve(t, &node{execute: func(context.Context, *mustardmast.TargetCall) (*mustardmast.TargetReply, error) { return nil, want }})
 		_, _, _, err := c.Execute(context.Background(), address, call())
@@ -122,6 +125,7 @@
 		assert.Equal(t, got.Kind(), want.Kind())
 		assert.Equal(t, got.Outcome(), want.Outcome())
 		assert.Equal(t, got.RetryAfter(), want.RetryAfter())
+		assert.Equal(t, got.OnlyHost(), want.OnlyHost())
 	}
 }
 
@@ -137,6 +141,29 @@
 	assert.Equal(t, string(raw), "document")
 }
 
+// Guards against evidence about crashing requests that is decoded incorrectly, and against ages of a foreign message that
+// overflow.
+func TestEvidenceExchange(t *testing.T) {
+	evidence := []quarantine.Update{
+		{
+			Fingerprint: 1<<63 | 7, Completed: quarantine.Event{ID: 3, Age: 40 * time.Millisecond}, Cleared: quarantine.Event{ID: 1<<63 | 4, Age: -2 * time.Second},
+			Crashes: []quarantine.Event{{ID: 1<<63 | 1, Age: time.Second}, {ID: 2, Age: time.Minute}},
+		},
+		{Fingerprint: 8, Completed: quarantine.Event{Age: quarantine.Never}, Cleared: quarantine.Event{Age: quarantine.Never}},
+	}
+	address, c := serve(t, &node{message: hostlink.GossipMessage{Evidence: evidence, WantEvidence: true}})
+	got, err := c.Exchange(context.Background(), address, hostlink.GossipMessage{})
+	assert.NilError(t, err)
+	assert.DeepEqual(t, got, hostlink.GossipMessage{Evidence: evidence, WantEvidence: true})
+
+	far := []quarantine.Update{{Fingerprint: 9, Completed: quarantine.Event{ID: 1, Age: math.MaxInt64 - 1}, Cleared: quarantine.Event{ID: 1, Age: math.MinInt64}}}
+	address, c = serve(t, &node{message: hostlink.GossipMessage{Evidence: far}})
+	got, err = c.Exchange(context.Background(), address, hostlink.GossipMessage{})
+	assert.NilError(t, err)
+	assert.Equal(t, got.Evidence[0].Completed.Age, 24*time.Hour)
+	assert.Equal(t, got.Evidence[0].Cleared.Age, -24*time.Hour)
+}
+
 // Guards against work that continues on the other node after its caller has canceled, also while the reply is being
 // read.
 func TestCanceledCall(t *testing.T) {
--- a/io/hostlink/server.go
+++ b/io/hostlink/server.go
@@ -19,7 +19,6 @@
 
 	"mustardmast"
 	"mustardmast/core/fault"
-	"mustardmast/core/roster"
 	"mustardmast/io/message"
 )
 
@@ -35,15 +34,6 @@
 	acceptRetryDelay = 20 * time.Millisecond // after a connection could not be accepted
 )
 
-// GossipMessage is what nodes exchange about the hosts.
-type GossipMessage struct {
-	From     roster.Record
-	Hosts    []roster.Record  // hosts known to the sender; sent if the digests differ
-	Removals []roster.Removal // hosts that have left for good; sent by those that leave, and if the digests differ
-	Version  uint64           // version of the configuration of the sender
-	Digest   uint64           // digest of the hosts known to the sender; 0 if not sent
-}
-
 // GossipHandler processes the gossip message of another node and returns that of this node.
 type GossipHandler interface {
 	Exchange(m GossipMessage) GossipMessage
@@ -51,59 +41,6 @@
 	ConfigDocument() []byte
 }
 
-type wireRecord struct {
-	Host     string `json:"host"`
-	Address  string `json:"address"`
-	Domain   string `json:"domain"`
-	Service  string `json:"service"`
-	Started  int64  `json:"started-ms"`
-	Sequence uint64 `json:"sequence"`
-	Ready    bool   `json:"ready"`
-}
-
-type wireRemoval struct {
-	Host    string `json:"host"`
-	Started int64  `json:"started-ms"`
-}
-
-type wireMessage struct {
-	From    wireRecord    `json:"from"`
-	Hosts   []wireRecord  `json:"hosts,omitempty"`
-	Left    []wireRemoval `json:"left,omitempty"`
-	Version uint64        `json:"version"`
-	Digest  uint64        `json:"digest,omitempty"`
-}
-
-func recordToWire(r roster.Record) wireRecord {
-	return wireRecord{Host: r.Host, Address: r.Address, Domain: r.FailureDomain, Service: r.Service, Started: r.Started, Sequence: r.Sequence, Ready: r.Ready}
-}
-
-func recordFromWire(w wireRecord) roster.Record {
-	return roster.Record{Host: w.Host, Address: w.Address, FailureDomain: w.Domain, Service: w.Service, Started: w.Started, Sequence: w.Sequence, Ready: w.Ready}
-}
-
-func messageToWire(m GossipMessage) wireMessage {
-	w := wireMessage{From: recordToWire(m.From), Version: m.Version, Digest: m.Digest}
-	for _, r := range m.Hosts {
-		w.Hosts = append(w.Hosts, recordToWire(r))
-	}
-	for _, r := range m.Removals {
-		w.Left = append(w.Left, wireRemoval{Host: r.Host, Started: r.Started})
-	}
-	return w
-}
-
-func messageFromWire(w wireMessage) GossipMessage {
-	m := GossipMessage{From: recordFromWire(w.From), Version: w.Version, Digest: w.Digest}
-	for _, r := range w.Hosts {
-		m.Hosts = append(m.Hosts, recordFromWire(r))
-	}
-	for _, r := range w.Left {
-		m.Removals = append(m.Removals, roster.Removal{Host: r.Host, Started: r.Started})
-	}
-	return m
-}
-
 // Server serves requests of other nodes.
 type Server struct {
 	executor mustardmast.Executor
--- a/io/ingress/ingress.go
+++ b/io/ingress/ingress.go
@@ -17,12 +17,14 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
 
 	"mustardmast"
 	"mustardmast/core/closing"
 	"mustardmast/core/fault"
 	"mustardmast/core/pressure"
+	"mustardmast/core/quarantine"
 	"mustardmast/core/rejections"
 	"mustardmast/core/routing"
 	"mustardmast/io/localtarget"
@@ -35,6 +37,9 @@
 	maxBufferedBody = 512 << 10
 	// maxBufferedTotal is the maximum total size in bytes of buffered bodies. Beyond it, bodies are streamed.
 	maxBufferedTotal = 24 << 20
+	// contentPrefix is the size in bytes of the part of a body by which its content is recognized. It is read before the
+	// request is placed, also if the body is streamed.
+	contentPrefix = 16 << 10
 	// maxWaitFraction is the fraction of the time left to the objective of its route that a request may wait for a
 	// slot, and maxWaitFloor the minimum.
 	maxWaitFraction = 0.2
@@ -243,35 +248,28 @@
 	return out
 }
 
-// readBody buffers the body if it is small enough. Otherwise it leaves the body to be streamed.
+// readBody buffers the body if it is small enough. Otherwise it reads the first part and leaves the rest to be streamed.
 func (h *Handler) readBody(w http.ResponseWriter, r *http.Request, q *request, limit int64) error {
 	if r.Body == nil || r.Body == http.NoBody || r.ContentLength == 0 {
-		q.call.Length = 0
+		q.call.Length, q.call.Content = 0, contentOf(q.call, nil)
 		q.body = func() io.Reader { return nil }
 		return nil
 	}
 	if limit > 0 && r.ContentLength < 0 {
 		r.Body = http.MaxBytesReader(w, r.Body, limit)
 	}
-	reserved := r.ContentLength
-	if reserved < 0 {
-		reserved = maxBufferedBody
+	size := int64(maxBufferedBody)
+	if !h.reserve(r.ContentLength, q) {
+		size = contentPrefix
 	}
-	if r.ContentLength > maxBufferedBody || h.buffered.Add(reserved) > maxBufferedTotal {
-		if r.ContentLength <= maxBufferedBody {
-			h.buffered.Add(-reserved)
-		}
-		q.call.Body = r.Body
-		return nil
-	}
-	q.release = func() { h.buffered.Add(-reserved) }
 	_ = http.NewResponseController(w).SetReadDeadline(q.call.Deadline) // if this fails, the time-outs of the server apply
-	raw, err := io.ReadAll(io.LimitReader(r.Body, maxBufferedBody))
+	raw, err := io.ReadAll(io.LimitReader(r.Body, size))
 	_ = http.NewResponseController(w).SetReadDeadline(time.Time{})
 	if err != nil {
 		return err
 	}
-	if len(raw) == maxBufferedBody && r.ContentLength < 0 {
+	q.call.Content = contentOf(q.call, raw)
+	if size < maxBufferedBody || len(raw) == maxBufferedBody && r.ContentLength < 0 {
 		q.call.Body = io.MultiReader(bytes.NewReader(raw), r.Body)
 		return nil
 	}
@@ -280,6 +278,33 @@
 	return nil
 }
 
+// reserve reserves space to buffer a body of the given length, -1 if unknown. It returns false if the body must be
+// streamed.
+func (h *Handler) reserve(length int64, q *request) bool {
+	if length < 0 {
+		length = maxBufferedBody
+	}
+	if length > maxBufferedBody {
+		return false
+	}
+	if h.buffered.Add(length) > maxBufferedTotal {
+		h.buffered.Add(-length)
+		return false
+	}
+	q.release = func() { h.buffered.Add(-length) }
+	return true
+}
+
+// contentOf returns the content of a call whose body begins with prefix. It does not depend on the framing of the body,
+// which may differ when a caller sends a request again.
+func contentOf(c *mustardmast.TargetCall, prefix []byte) uint64 {
+	const anyLength = -1
+	hasher := quarantine.NewHasher(anyLength)
+	_, _ = hasher.Write(prefix[:min(len(prefix), contentPrefix)]) // it never fails
+	digest := hasher.Sum() ^ xxhash.Sum64String(c.URI)
+	return uint64(quarantine.FingerprintOf(c.Service, c.Method, c.Host, digest))
+}
+
 // place sheds a request or runs it on a target.
 func (h *Handler) place(ctx context.Context, q *request) (*mustardmast.TargetReply, error) {
 	now := time.Now()
--- a/io/localtarget/localtarget.go
+++ b/io/localtarget/localtarget.go
@@ -21,6 +21,8 @@
 	"mustardmast/core/fault"
 	"mustardmast/core/lifetime"
 	"mustardmast/core/pressure"
+	"mustardmast/core/quarantine"
+	"mustardmast/io/crash"
 	"mustardmast/io/targetconn"
 )
 
@@ -49,6 +51,9 @@
 	// RateLimitChanged is called when responses of a lifetime begin or cease to name a limit on the rate of its requests,
 	// or name another one. Limit is in requests per second, and 0 for no limit.
 	RateLimitChanged(id string, limit float64)
+	// TargetCrashed is called when a lifetime has crashed with calls in flight. Quarantined are the fingerprints of those
+	// that are rejected from then on.
+	TargetCrashed(t lifetime.Target, inFlight int, quarantined []quarantine.Fingerprint)
 	// NoticeMalformed is called when what a response states about its lifetime cannot be decoded.
 	NoticeMalformed(id string, err error)
 }
@@ -65,11 +70,19 @@
 	draining   atomic.Bool
 	active     atomic.Int64
 	pacer      *time.Timer // starts waiting calls when the limit on the rate allows
+	quarantine *quarantine.Quarantine
+	crashes    *crash.Detector[*Run]
+	notifier   crash.Notifier
+	host       string
+	serving    func(service string) []mustardmast.Member
 
 	mu            sync.Mutex
 	started       map[string]struct{} // ids of non-repeatable calls that were started
 	startedBefore map[string]struct{} // the previous set of started, see maxStartedIDs
 	runs          map[string]*Run     // by the id of the call
+	inFlight      map[*Run]struct{}
+	lifetime      lifetime.Target // to which the last call was sent
+	lifetimeSince time.Time       // when the first call was sent to it
 }
 
 // Options are the parameters and dependencies of an Executor.
@@ -80,14 +93,23 @@
 	Observer   Observer
 	Notice     func(http.Header) (mustardmast.TargetNotice, error) // decodes what a response states about the target
 	Version    func() uint64                                       // returns the version of the active configuration
+	Host       string                                              // name of this host
+	Node       mustardmast.NodeID
+	Quarantine *quarantine.Quarantine
+	Notifier   crash.Notifier
+	Serving    func(service string) []mustardmast.Member // returns the hosts whose targets accept requests of a service
 }
 
 // New returns an executor.
 func New(o Options) *Executor {
 	e := &Executor{
 		tracker: o.Tracker, controller: o.Controller, pool: o.Pool, observer: o.Observer, notice: o.Notice, version: o.Version,
-		levels: pressure.New(), started: map[string]struct{}{}, runs: map[string]*Run{},
+		levels: pressure.New(), started: map[string]struct{}{}, runs: map[string]*Run{}, inFlight: map[*Run]struct{}{},
+		quarantine: o.Quarantine, notifier: o.Notifier, host: o.Host, serving: o.Serving,
 	}
+	e.crashes = crash.New(crash.Options[*Run]{
+		Node: o.Node, Quarantine: o.Quarantine, InFlight: e.callsInFlight, Notifier: o.Notifier, OnCrash: e.targetCrashed,
+	})
 	e.pacer = time.AfterFunc(math.MaxInt64, e.startWaiting) // reset when a call waits for the limit on the rate
 	return e
 }
@@ -136,7 +158,7 @@
 // Execute implements mustardmast.Executor.
 func (e *Executor) Execute(ctx context.Context, c *mustardmast.TargetCall) (*mustardmast.TargetReply, mustardmast.TargetReport, error) {
 	e.active.Add(1)
-	run := &Run{route: c.Route, levels: e.levels, priority: c.Priority, rank: c.Rank, begun: c.Begun, retry: c.Retry}
+	run := &Run{fingerprint: quarantine.Fingerprint(c.Content), route: c.Route, levels: e.levels, priority: c.Priority, rank: c.Rank, begun: c.Begun, retry: c.Retry}
 	reply, err := e.execute(ctx, c, run)
 	if err != nil {
 		e.active.Add(-1)
@@ -152,56 +174,71 @@
 
 func (e *Executor) execute(ctx context.Context, c *mustardmast.TargetCall, r *Run) (*mustardmast.TargetReply, error) {
 	t := e.tracker.Target()
-	ticket, err := e.admit(ctx, c, t)
+	ticket, err := e.admit(ctx, c, t, r)
 	if err != nil {
+		e.release(r)
 		e.observer.CallRejected(c, err, e.controller.Report(time.Now()), t)
 		return nil, err
 	}
 	began := time.Now()
 	r.admittedFraction = c.AdmittedFraction
-	e.setRun(c.ID, r)
+	sent := e.begin(c.ID, r, t, began)
 	runCtx, cancel := ctx, func() {}
 	if !c.Repeatable {
 		// A call that is not repeatable runs to completion for its side effects, even if its caller has canceled, but
 		// at most until 1 s after its deadline.
 		runCtx, cancel = context.WithDeadline(context.WithoutCancel(ctx), c.Deadline.Add(time.Second))
 	}
+	finish := func(err error, succeeded bool) {
+		e.checkConnection(t, r, sent, err)
+		cancel()
+		e.end(c.ID, r)
+		e.done(ticket, succeeded)
+		e.observer.CallCompleted(c, ticket.Waited(), time.Since(began), err, t)
+	}
 	reply, header, err := e.pool.Do(runCtx, c, t.ID, c.Deadline)
 	if header != nil {
 		e.handleNotice(began, t, header)
 	}
 	if err != nil {
-		cancel()
-		e.setRun(c.ID, nil)
 		e.targetFailed(t, err)
-		e.done(ticket, false)
-		e.observer.CallCompleted(c, ticket.Waited(), time.Since(began), err, t)
+		finish(err, false)
 		return nil, err
 	}
 	succeeded := reply.Status < http.StatusInternalServerError // a failure may be faster than real work
-	reply.Body = &replyBody{ReadCloser: reply.Body, onClose: func(err error) {
-		cancel()
-		e.setRun(c.ID, nil)
-		e.done(ticket, succeeded)
+	reply.Body = &replyBody{ReadCloser: reply.Body, onClose: func(complete bool, err error) {
+		if complete && succeeded {
+			e.recordCompletion(c.Service, r)
+		}
+		finish(err, succeeded)
 		e.active.Add(-1)
-		e.observer.CallCompleted(c, ticket.Waited(), time.Since(began), err, t)
 	}}
 	return reply, nil
 }
 
-// setRun registers a run, or removes it if r is nil.
-func (e *Executor) setRun(id string, r *Run) {
+// begin registers a run that is about to be sent to a lifetime of the target.
+func (e *Executor) begin(id string, r *Run, t lifetime.Target, now time.Time) crash.Sent {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if r == nil {
-		delete(e.runs, id)
-		return
-	}
 	e.runs[id] = r
+	e.inFlight[r] = struct{}{}
+	if e.lifetime.ID != t.ID || e.lifetime.StartedMS != t.StartedMS {
+		e.lifetime, e.lifetimeSince = t, now
+	}
+	return crash.Sent{Address: e.pool.Address(), Service: t.Service, At: now, Alive: e.lifetimeSince}
 }
 
-// admit waits for a slot of the target. The caller must release the returned ticket.
-func (e *Executor) admit(ctx context.Context, c *mustardmast.TargetCall, t lifetime.Target) (*admission.Ticket, error) {
+// end removes a run. If it ran alone, other calls are admitted again.
+func (e *Executor) end(id string, r *Run) {
+	e.mu.Lock()
+	delete(e.runs, id)
+	delete(e.inFlight, r)
+	e.mu.Unlock()
+	e.release(r)
+}
+
+// admit waits for a slot of the target. The caller must release the returned ticket, and the run in any case.
+func (e *Executor) admit(ctx context.Context, c *mustardmast.TargetCall, t lifetime.Target, r *Run) (*admission.Ticket, error) {
 	if err := e.checkTarget(c, t); err != nil {
 		return nil, err
 	}
@@ -209,6 +246,9 @@
 	if c.Deadline.Sub(now) < minTimeLeft {
 		return nil, fault.New(fault.DeadlinePassed, "not enough time left before the deadline")
 	}
+	if err := e.isolate(ctx, c, r); err != nil {
+		return nil, err
+	}
 	if err := e.shed(now, c); err != nil {
 		return nil, err
 	}
@@ -348,17 +388,22 @@
 	}
 }
 
-// replyBody calls onClose once, when it is closed.
+// replyBody calls onClose once, when it is closed. Complete is whether it was read to its end.
 type replyBody struct {
 	io.ReadCloser
-	onClose func(err error)
-	err     error
-	once    sync.Once
+	onClose  func(complete bool, err error)
+	complete bool
+	err      error
+	once     sync.Once
 }
 
 func (b *replyBody) Read(p []byte) (int, error) {
 	n, err := b.ReadCloser.Read(p)
-	if err != nil && err != io.EOF {
+	switch err {
+	case nil:
+	case io.EOF:
+		b.complete = true
+	default:
 		b.err = err
 	}
 	return n, err
@@ -366,6 +411,6 @@
 
 func (b *replyBody) Close() error {
 	err := b.ReadCloser.Close()
-	b.once.Do(func() { b.onClose(b.err) })
+	b.once.Do(func() { b.onClose(b.complete, b.err) })
 	return err
 }
--- a/io/localtarget/localtarget_test.go
+++ b/io/localtarget/localtarget_test.go
@@ -17,6 +17,7 @@
 	"mustardmast/core/admission"
 	"mustardmast/core/fault"
 	"mustardmast/core/lifetime"
+	"mustardmast/core/quarantine"
 	"mustardmast/io/localtarget"
 	"mustardmast/io/targetconn"
 )
@@ -31,7 +32,9 @@
 func (nopObserver) TargetLost(string, error)         {}
 func (nopObserver) TargetLeaving(string)             {}
 func (nopObserver) RateLimitChanged(string, float64) {}
-func (nopObserver) NoticeMalformed(string, error)    {}
+func (nopObserver) TargetCrashed(lifetime.Target, int, []quarantine.Fingerprint) {
+}
+func (nopObserver) NoticeMalformed(string, error) {}
 
 // fixture is an executor in front of a stub target with a single slot.
 type fixture struct {
@@ -40,9 +43,19 @@
 	controller *admission.Controller
 	address    netip.AddrPort
 	release    chan struct{} // each value completes one run
+	quarantine *quarantine.Quarantine
+	serving    []mustardmast.Member
+
+	mu       sync.Mutex
+	runs     []string
+	notified []quarantine.Update
+}
 
-	mu   sync.Mutex
-	runs []string
+// NotifyCrash implements crash.Notifier.
+func (f *fixture) NotifyCrash(_ context.Context, _ string, updates []quarantine.Update) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.notified = append(f.notified, updates...)
 }
 
 // newFixture returns an executor whose target has announced itself and responds by respond; nil stands for runs that
@@ -57,7 +70,7 @@
 // newUnannouncedFixture is newFixture with a target that has not announced itself.
 func newUnannouncedFixture(t *testing.T, respond http.HandlerFunc) *fixture {
 	t.Helper()
-	f := &fixture{release: make(chan struct{}, 100), controller: admission.New()}
+	f := &fixture{release: make(chan struct{}, 100), controller: admission.New(), quarantine: quarantine.New(1)}
 	if respond == nil {
 		respond = f.awaitRelease
 	}
@@ -81,6 +94,8 @@
 			return n, err
 		},
 		Version: func() uint64 { return 7 },
+		Host:    "h1", Node: 1, Quarantine: f.quarantine, Notifier: f,
+		Serving: func(string) []mustardmast.Member { return f.serving },
 	})
 	return f
 }
--- a/io/localtarget/run.go
+++ b/io/localtarget/run.go
@@ -5,10 +5,13 @@
 	"time"
 
 	"mustardmast/core/pressure"
+	"mustardmast/core/quarantine"
 )
 
 // Run is a call that is running on the target.
 type Run struct {
+	fingerprint      quarantine.Fingerprint // 0 if unknown
+	alone            bool                   // a suspect, which runs with nothing else in flight
 	route            string
 	levels           *pressure.Levels
 	priority         int
@@ -20,6 +23,9 @@
 	level            atomic.Int64 // highest shedding level observed by its sub-calls, in thousandths
 }
 
+// Fingerprint identifies the content of the call; 0 if it is unknown.
+func (r *Run) Fingerprint() quarantine.Fingerprint { return r.fingerprint }
+
 // Priority returns the priority of the request at the start of the call chain.
 func (r *Run) Priority() int { return r.priority }
 
--- a/io/placement/attempt.go
+++ b/io/placement/attempt.go
@@ -26,6 +26,7 @@
 	offers         int
 	waits          int
 	excluded       map[string]bool
+	only           map[string]bool // if not nil, the hosts to which the call is restricted
 	lastErr        error
 	retryRequested bool                     // a retry of this call was requested from the budget before
 	hasSubCalls    bool                     // the last run made sub-calls
@@ -288,13 +289,13 @@
 	}
 }
 
-// allowedHosts returns the hosts that the call is restricted to once it has reached the maximum number of targets, nil
-// before.
+// allowedHosts returns the hosts that the call is restricted to: those that it has reached, once these are the maximum
+// number, or the one that alone may run it. It returns nil if there is no restriction.
 func (a *attempt) allowedHosts() map[string]bool {
 	if len(a.reached) >= a.maxTries {
 		return a.reached
 	}
-	return nil
+	return a.only
 }
 
 // observe records the shedding level reported by the node beside a target.
@@ -357,7 +358,13 @@
 	switch f.Kind() {
 	case fault.TargetRefused, fault.WrongIncarnation:
 		return a.allowRetry(time.Now())
-	case fault.Shed: // other nodes would shed it too
+	case fault.Shed:
+		if f.OnlyHost() == "" || a.only[f.OnlyHost()] {
+			return false // other nodes would shed it too
+		}
+		a.only = map[string]bool{f.OnlyHost(): true}
+		return true
+	case fault.Quarantined: // at all nodes of the service
 		return false
 	case fault.Canceled, fault.DeadlineExceeded, fault.DeadlinePassed, fault.BadRequest:
 		a.mayHaveRun = a.mayHaveRun || f.Outcome() != fault.NotExecuted
--- a/io/placement/placement_test.go
+++ b/io/placement/placement_test.go
@@ -152,3 +152,43 @@
 	}
 	assert.Equal(t, vanished.runs.Load(), int64(2))
 }
+
+// onlyOn is an executor that runs a call on one host only, as it does with a suspect.
+type onlyOn struct{ full }
+
+func (e *onlyOn) Execute(context.Context, *mustardmast.TargetCall) (*mustardmast.TargetReply, mustardmast.TargetReport, error) {
+	e.offers++
+	return nil, mustardmast.TargetReport{Ready: true}, fault.New(fault.Shed, "").WithOnlyHost("h2")
+}
+
+type accepting struct{ full }
+
+func (accepting) Execute(context.Context, *mustardmast.TargetCall) (*mustardmast.TargetReply, mustardmast.TargetReport, error) {
+	return &mustardmast.TargetReply{Status: http.StatusOK, Body: http.NoBody}, mustardmast.TargetReport{Ready: true}, nil
+}
+
+// Guards against a suspect that is offered to one host after another and rejected by each, although one would run it.
+func TestCallIsOfferedToTheOnlyHost(t *testing.T) {
+	hosts := roster.New(roster.Record{Host: "h1", Service: "board", Ready: true}, 1)
+	for _, name := range []string{"h2", "h3", "h4", "h5", "h6", "h7", "h8"} {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		assert.NilError(t, err)
+		var e mustardmast.Executor = &onlyOn{}
+		if name == "h2" {
+			e = &accepting{}
+		}
+		s := hostlink.NewServer(e, &full{})
+		go func() { _ = s.Serve(l) }()
+		defer func() { _ = s.Close() }()
+		hosts.Merge(roster.Record{Host: name, Address: l.Addr().String(), Service: "board", Ready: true, Started: 1}, true)
+	}
+	link := hostlink.NewClient(net.IPv4(127, 0, 0, 1), func(string) {})
+	defer link.Close()
+	p := placement.New(hosts, &onlyOn{}, link, retrybudget.New(retrybudget.Spec{Ratio: 0.2, Slack: 10, Window: time.Second}), pressure.New(), observer{})
+	for range 20 {
+		c := &mustardmast.TargetCall{ID: "a", Service: "board", Deadline: time.Now().Add(time.Second), Begun: time.Now()}
+		reply, err := p.Place(context.Background(), c, func() io.Reader { return nil }, 1, nil)
+		assert.NilError(t, err)
+		assert.Equal(t, reply.Status, http.StatusOK)
+	}
+}
--- a/io/targetconn/targetconn.go
+++ b/io/targetconn/targetconn.go
@@ -72,6 +72,9 @@
 	return &Pool{address: address, names: names, onDial: onDial}
 }
 
+// Address returns the address of the target.
+func (p *Pool) Address() string { return p.address }
+
 // CloseIdle closes the idle connections, for example when another lifetime takes over the address.
 func (p *Pool) CloseIdle() {
 	p.mu.Lock()
--- a/sidecar/providers.go
+++ b/sidecar/providers.go
@@ -17,6 +17,7 @@
 	"mustardmast/core/closing"
 	"mustardmast/core/lifetime"
 	"mustardmast/core/pressure"
+	"mustardmast/core/quarantine"
 	"mustardmast/core/rejections"
 	"mustardmast/core/retrybudget"
 	"mustardmast/core/roster"
@@ -93,8 +94,12 @@
 	return platform.NewStore(s.StoreAddress(), set.NewCounter("mustardmast_store_calls_total").Inc)
 }
 
-func newFleet(r *roster.Roster, link *hostlink.Client, s fleet.Store, t mustardmast.Timers, l *eventlog.Log, set *metrics.Set) *fleet.Fleet {
-	f := fleet.New(r, link, s, t, platform.DecodeDocument, l)
+func newQuarantine(r *roster.Roster) *quarantine.Quarantine {
+	return quarantine.New(r.Self().NodeID())
+}
+
+func newFleet(r *roster.Roster, link *hostlink.Client, s fleet.Store, t mustardmast.Timers, q *quarantine.Quarantine, l *eventlog.Log, set *metrics.Set) *fleet.Fleet {
+	f := fleet.New(r, link, s, t, platform.DecodeDocument, q, l)
 	set.NewGauge("mustardmast_host_entries_unreadable", func() float64 { return float64(f.UnreadableEntries()) })
 	return f
 }
@@ -103,9 +108,12 @@
 	return decisions.New(l, set, f.FetchNewerConfig, f.HostDown, reporter.targetLost, reporter.targetLeaving)
 }
 
-func newExecutor(t *lifetime.Tracker, c *admission.Controller, p *targetconn.Pool, r *decisions.Recorder, f *fleet.Fleet) *localtarget.Executor {
+func newExecutor(t *lifetime.Tracker, c *admission.Controller, p *targetconn.Pool, o *decisions.Recorder, f *fleet.Fleet,
+	r *roster.Roster, q *quarantine.Quarantine,
+) *localtarget.Executor {
 	return localtarget.New(localtarget.Options{
-		Tracker: t, Controller: c, Pool: p, Observer: r, Notice: platform.ParseNotice, Version: f.Version,
+		Tracker: t, Controller: c, Pool: p, Observer: o, Notice: platform.ParseNotice, Version: f.Version,
+		Host: r.Self().Host, Node: r.Self().NodeID(), Quarantine: q, Notifier: f, Serving: r.Serving,
 	})
 }
 
--- a/sidecar/wire.go
+++ b/sidecar/wire.go
@@ -18,7 +18,7 @@
 // build constructs a sidecar with the settings in a file.
 func build(f settingsFile) (*Sidecar, error) {
 	wire.Build(
-		newSettings, newLiveSettings, metrics.NewSet, newSink, newLog, tick.New, newTracker, newController, newPool, newPeerClient, newRoster, newStore,
+		newSettings, newLiveSettings, metrics.NewSet, newSink, newLog, tick.New, newTracker, newController, newPool, newPeerClient, newRoster, newQuarantine, newStore,
 		newFleet, newTargetReporter, newRecorder, newExecutor, pressure.New, newRetryBudget, rejections.New, closing.New, newPlacer, newIngress, newSidecar,
 		wire.Bind(new(mustardmast.Timers), new(*tick.Service)), wire.Bind(new(fleet.Store), new(*platform.Store)),
 	)
