--- a/core/quarantine/quarantine.go
+++ b/core/quarantine/quarantine.go
@@ -265,6 +265,17 @@
 // Dropped returns how often evidence was dropped because its shard held only quarantined fingerprints.
 func (q *Quarantine) Dropped() uint64 { return q.dropped.Load() }
 
+// Count returns the number of fingerprints in a state.
+func (q *Quarantine) Count(now time.Time, in State) int {
+	n := 0
+	for _, item := range q.List(now) {
+		if item.State == in {
+			n++
+		}
+	}
+	return n
+}
+
 // Item describes one fingerprint for operators.
 type Item struct {
 	Fingerprint Fingerprint
--- a/io/placement/placement.go
+++ b/io/placement/placement.go
@@ -79,6 +79,9 @@
 	return &Placer{roster: r, local: local, link: link, budget: b, levels: l, observer: o}
 }
 
+// UnbufferedReplies returns the number of replies that were streamed because the others took all buffer space.
+func (p *Placer) UnbufferedReplies() int64 { return p.replies.unbuffered.Load() }
+
 // Place runs a call. Body returns the body from its start; it is nil if the body can be read only once. MaxTries is the
 // maximum number of targets that the call may reach. ObserveLevel, if not nil, is called with each shedding level
 // reported for the call.
--- a/io/placement/reply.go
+++ b/io/placement/reply.go
@@ -24,7 +24,10 @@
 )
 
 // replyBuffers buffers replies. All of them share maxBufferedReplies bytes.
-type replyBuffers struct{ reserved atomic.Int64 }
+type replyBuffers struct {
+	reserved   atomic.Int64 // bytes
+	unbuffered atomic.Int64 // replies that were streamed because no space was left
+}
 
 func (b *replyBuffers) reserve(n int64) bool {
 	if b.reserved.Add(n) <= maxBufferedReplies {
@@ -47,7 +50,11 @@
 	}
 	var ended bool
 	var err error
-	for err == nil && !ended && body.length < maxBufferedReply && b.reserve(size) {
+	for err == nil && !ended && body.length < maxBufferedReply {
+		if !b.reserve(size) {
+			b.unbuffered.Add(1)
+			break
+		}
 		body.reserved += size
 		ended, err = body.readPart(size)
 		size = min(2*size, maxReplyPart)
--- a/sidecar/crashing_test.go
+++ b/sidecar/crashing_test.go
@@ -174,6 +174,21 @@
 	}
 }
 
+// Guards against a request that crashes the only target of its service again and again, since a suspect prefers targets that
+// have not crashed.
+func TestCrashingRequestAtTheOnlyTarget(t *testing.T) {
+	c := newCluster(t)
+	entry := c.add("ledger", "a")
+	boards := crashingBoards(c, 1, 200*time.Millisecond)
+	for range 12 {
+		entry.send("GET", "/board/poison", nil, nil)
+		time.Sleep(300 * time.Millisecond)
+	}
+	assert.Assert(t, totalCrashes(boards) <= maxCrashes, "%d crashes", totalCrashes(boards))
+	_, resp, _ := entry.send("GET", "/board/other", nil, nil)
+	assert.Equal(t, resp.StatusCode, http.StatusOK)
+}
+
 // framed returns a body whose length is known for every other n only.
 func framed(n int, text string) io.Reader {
 	if n%2 == 0 {
--- a/sidecar/providers.go
+++ b/sidecar/providers.go
@@ -94,8 +94,11 @@
 	return platform.NewStore(s.StoreAddress(), set.NewCounter("mustardmast_store_calls_total").Inc)
 }
 
-func newQuarantine(r *roster.Roster) *quarantine.Quarantine {
-	return quarantine.New(r.Self().NodeID())
+func newQuarantine(r *roster.Roster, set *metrics.Set) *quarantine.Quarantine {
+	q := quarantine.New(r.Self().NodeID())
+	set.NewGauge("mustardmast_suspect_fingerprints", func() float64 { return float64(q.Count(time.Now(), quarantine.Suspect)) })
+	set.NewGauge("mustardmast_quarantined_fingerprints", func() float64 { return float64(q.Count(time.Now(), quarantine.Quarantined)) })
+	return q
 }
 
 func newFleet(r *roster.Roster, link *hostlink.Client, s fleet.Store, t mustardmast.Timers, q *quarantine.Quarantine, l *eventlog.Log, set *metrics.Set) *fleet.Fleet {
@@ -122,8 +125,10 @@
 	return retrybudget.New(retrybudget.Spec{Ratio: ratio, Slack: slack, Window: window})
 }
 
-func newPlacer(r *roster.Roster, e *localtarget.Executor, link *hostlink.Client, b *retrybudget.Budget, l *pressure.Levels, o *decisions.Recorder) *placement.Placer {
-	return placement.New(r, e, link, b, l, o)
+func newPlacer(r *roster.Roster, e *localtarget.Executor, link *hostlink.Client, b *retrybudget.Budget, l *pressure.Levels, o *decisions.Recorder, set *metrics.Set) *placement.Placer {
+	p := placement.New(r, e, link, b, l, o)
+	set.NewGauge("mustardmast_replies_unbuffered_total", func() float64 { return float64(p.UnbufferedReplies()) })
+	return p
 }
 
 func newIngress(s *liveSettings, f *fleet.Fleet, e *localtarget.Executor, p *placement.Placer, l *pressure.Levels,
