io/localtarget: a target that restarts quickly stays ready after its crash

Its node marked the lifetime as lost by its id once the check for a crash and the messages to other nodes had ended, which takes up to half a second. A target that had started again by then, under the same id, got no calls until its next announcement. Seen by reading. TestTargetIsReadyAfterAQuickRestart fails without the change ("gone").

--- a/io/localtarget/localtarget_test.go
+++ b/io/localtarget/localtarget_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
@@ -45,6 +46,8 @@
 	release    chan struct{} // each value completes one run
 	quarantine *quarantine.Quarantine
 	serving    []mustardmast.Member
+	listener   net.Listener
+	onNotify   func()
 
 	mu       sync.Mutex
 	runs     []string
@@ -56,6 +59,9 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.notified = append(f.notified, updates...)
+	if f.onNotify != nil {
+		f.onNotify()
+	}
 }
 
 // newFixture returns an executor whose target has announced itself and responds by respond; nil stands for runs that
@@ -81,7 +87,7 @@
 		respond(w, r)
 	}))
 	t.Cleanup(s.Close)
-	f.address = netip.MustParseAddrPort(s.Listener.Addr().String())
+	f.listener, f.address = s.Listener, netip.MustParseAddrPort(s.Listener.Addr().String())
 	f.tracker = lifetime.New(f.address)
 	f.controller.SetSlots(time.Now(), 1)
 	f.Executor = localtarget.New(localtarget.Options{
--- a/io/localtarget/suspect.go
+++ b/io/localtarget/suspect.go
@@ -87,7 +87,10 @@
 	if !connectionLost(err) || e.tracker.HasAnnouncedEnd(t) {
 		return
 	}
-	if e.crashes.ConnectionLost(time.Now(), r, sent) && e.tracker.MarkLost(t.ID) {
+	if !e.crashes.ConnectionLost(time.Now(), r, sent) || !e.tracker.IsCurrent(sent.At, t) { // it may have started again meanwhile
+		return
+	}
+	if e.tracker.MarkLost(t.ID) {
 		e.pool.CloseIdle()
 		e.observer.TargetLost(t.ID, err)
 	}
--- a/io/localtarget/suspect_test.go
+++ b/io/localtarget/suspect_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"testing"
 	"time"
 
@@ -9,6 +10,7 @@
 
 	"mustardmast"
 	"mustardmast/core/fault"
+	"mustardmast/core/lifetime"
 	"mustardmast/core/quarantine"
 )
 
@@ -93,3 +95,19 @@
 	assert.NilError(t, <-f.start(call("after")))
 	assert.NilError(t, <-long)
 }
+
+// Guards against a target that gets no calls until its next announcement, because it has started again while its node was
+// still handling the crash.
+func TestTargetIsReadyAfterAQuickRestart(t *testing.T) {
+	var f *fixture
+	f = newFixture(t, func(http.ResponseWriter, *http.Request) {
+		_ = f.listener.Close()
+		panic(http.ErrAbortHandler)
+	})
+	f.onNotify = func() { f.announce("i-1", 2000, false) }
+	c := call("a")
+	c.Content = suspected
+	assert.Equal(t, fault.KindOf(f.run(context.Background(), c)), fault.TargetFailed)
+	assert.Equal(t, len(f.notified), 1, "the crash was not noticed")
+	assert.Equal(t, f.tracker.Target().State, lifetime.Ready)
+}
