--- a/io/hostlink/lost_test.go
+++ b/io/hostlink/lost_test.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"context"
 	"io"
-	"net"
 	"net/http"
 	"sync"
 	"testing"
@@ -16,49 +15,6 @@
 	"mustardmast/core/fault"
 )
 
-// relay forwards connections to an address until cut, which ends them as the end of a process does: without an abort
-// frame, and between two frames if nothing is being sent.
-type relay struct {
-	address string
-	mu      sync.Mutex
-	conns   []net.Conn
-}
-
-func newRelay(t *testing.T, to string) *relay {
-	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(t, err)
-	t.Cleanup(func() { _ = l.Close() })
-	r := &relay{address: l.Addr().String()}
-	go func() {
-		for {
-			from, err := l.Accept()
-			if err != nil {
-				return
-			}
-			target, err := net.Dial("tcp", to)
-			if err != nil {
-				_ = from.Close()
-				return
-			}
-			r.mu.Lock()
-			r.conns = append(r.conns, from, target)
-			r.mu.Unlock()
-			go func() { _, _ = io.Copy(target, from) }()
-			go func() { _, _ = io.Copy(from, target) }()
-		}
-	}()
-	return r
-}
-
-func (r *relay) cut() {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	for _, c := range r.conns {
-		_ = c.Close()
-	}
-}
-
 // stalled is a body that blocks after its data until the test ends.
 type stalled struct {
 	io.Reader
--- a/io/hostlink/silent_test.go
+++ b/io/hostlink/silent_test.go
@@ -7,7 +7,6 @@
 	"net"
 	"net/http"
 	"strings"
-	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -19,68 +18,6 @@
 	"mustardmast/io/hostlink"
 )
 
-// pausingRelay forwards connections to an address. While it is paused, data waits in it, as it does for a host that
-// stands still or is cut off for some seconds.
-type pausingRelay struct {
-	address string
-	mu      sync.Mutex
-	resumed sync.Cond
-	paused  bool
-}
-
-func newPausingRelay(t *testing.T, to string) *pausingRelay {
-	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(t, err)
-	t.Cleanup(func() { _ = l.Close() })
-	r := &pausingRelay{address: l.Addr().String()}
-	r.resumed.L = &r.mu
-	go func() {
-		for {
-			client, err := l.Accept()
-			if err != nil {
-				return
-			}
-			server, err := net.Dial("tcp", to)
-			if err != nil {
-				_ = client.Close()
-				continue
-			}
-			go r.forward(client, server)
-			go r.forward(server, client)
-		}
-	}()
-	return r
-}
-
-func (r *pausingRelay) forward(from, to net.Conn) {
-	buffer := make([]byte, 16<<10)
-	for {
-		n, err := from.Read(buffer)
-		r.mu.Lock()
-		for r.paused {
-			r.resumed.Wait()
-		}
-		r.mu.Unlock()
-		if n > 0 {
-			if _, werr := to.Write(buffer[:n]); werr != nil {
-				err = werr
-			}
-		}
-		if err != nil {
-			_, _ = to.Close(), from.Close()
-			return
-		}
-	}
-}
-
-func (r *pausingRelay) pause(on bool) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.paused = on
-	r.resumed.Broadcast()
-}
-
 // A host is silent for 2.5 s while it runs a call that must not run twice. Guards against giving the call up, so that its
 // caller learns nothing although the reply is there as soon as the host responds again, and against canceling it there.
 func TestSilentHostKeepsCallThatMustNotRunTwice(t *testing.T) {
@@ -95,7 +32,7 @@
 		}
 		return &mustardmast.TargetReply{Status: http.StatusOK, Length: 4, Body: io.NopCloser(strings.NewReader("done"))}, nil
 	}})
-	relay := newPausingRelay(t, address)
+	relay := newRelay(t, address)
 	silent := make(chan string, 1)
 	c := hostlink.NewClient(net.IPv4(127, 0, 0, 1), func(address string) { silent <- address })
 	defer c.Close()
@@ -139,7 +76,7 @@
 		}
 		return &mustardmast.TargetReply{Status: http.StatusOK, Body: http.NoBody}, nil
 	}})
-	relay := newPausingRelay(t, address)
+	relay := newRelay(t, address)
 	c := hostlink.NewClient(net.IPv4(127, 0, 0, 1), func(string) {})
 	defer c.Close()
 	ctx, cancel := context.WithTimeout(context.Background(), 6*time.Second)
--- a/io/localtarget/localtarget.go
+++ b/io/localtarget/localtarget.go
@@ -7,11 +7,9 @@
 
 import (
 	"context"
-	"io"
 	"math"
 	"math/rand/v2"
 	"net/http"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -128,22 +126,6 @@
 // Active returns the number of calls that are running or waiting.
 func (e *Executor) Active() int64 { return e.active.Load() }
 
-// ParentRun returns the run that issued a sub-call, or nil if there is none. The id of a sub-call is the id of the run,
-// a dot, and a suffix.
-func (e *Executor) ParentRun(id string) *Run {
-	dot := strings.LastIndexByte(id, '.')
-	if dot < 0 {
-		return nil
-	}
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	r := e.runs[id[:dot]]
-	if r != nil {
-		r.hasSubCalls.Store(true)
-	}
-	return r
-}
-
 // Report returns the state of the target.
 func (e *Executor) Report() mustardmast.TargetReport {
 	t := e.tracker.Target()
@@ -216,27 +198,6 @@
 	return reply, nil
 }
 
-// begin registers a run that is about to be sent to a lifetime of the target.
-func (e *Executor) begin(id string, r *Run, t lifetime.Target, now time.Time) crash.Sent {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	e.runs[id] = r
-	e.inFlight[r] = struct{}{}
-	if e.lifetime.ID != t.ID || e.lifetime.StartedMS != t.StartedMS {
-		e.lifetime, e.lifetimeSince = t, now
-	}
-	return crash.Sent{Address: e.pool.Address(), Service: t.Service, At: now, Alive: e.lifetimeSince}
-}
-
-// end removes a run. If it ran alone, other calls are admitted again.
-func (e *Executor) end(id string, r *Run) {
-	e.mu.Lock()
-	delete(e.runs, id)
-	delete(e.inFlight, r)
-	e.mu.Unlock()
-	e.release(r)
-}
-
 // admit waits for a slot of the target. The caller must release the returned ticket, and the run in any case.
 func (e *Executor) admit(ctx context.Context, c *mustardmast.TargetCall, t lifetime.Target, r *Run) (*admission.Ticket, error) {
 	if err := e.checkTarget(c, t); err != nil {
@@ -387,30 +348,3 @@
 		}
 	}
 }
-
-// replyBody calls onClose once, when it is closed. Complete is whether it was read to its end.
-type replyBody struct {
-	io.ReadCloser
-	onClose  func(complete bool, err error)
-	complete bool
-	err      error
-	once     sync.Once
-}
-
-func (b *replyBody) Read(p []byte) (int, error) {
-	n, err := b.ReadCloser.Read(p)
-	switch err {
-	case nil:
-	case io.EOF:
-		b.complete = true
-	default:
-		b.err = err
-	}
-	return n, err
-}
-
-func (b *replyBody) Close() error {
-	err := b.ReadCloser.Close()
-	b.once.Do(func() { b.onClose(b.complete, b.err) })
-	return err
-}
--- a/io/localtarget/suspect.go
+++ b/io/localtarget/suspect.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"io"
-	"maps"
 	"slices"
 	"syscall"
 	"time"
@@ -75,12 +74,6 @@
 	}
 }
 
-func (e *Executor) callsInFlight() []*Run {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	return slices.Collect(maps.Keys(e.inFlight))
-}
-
 // checkConnection looks for a crash of the target if the connection of a call broke. The other nodes have the evidence when
 // it returns. A target that has announced its end does not crash when it exits.
 func (e *Executor) checkConnection(t lifetime.Target, r *Run, sent crash.Sent, err error) {
--- a/sidecar/soak_test.go
+++ b/sidecar/soak_test.go
@@ -107,32 +107,6 @@
 
 func (h *host) setTargetHandler(f http.HandlerFunc) { h.target.setHandler(f) }
 
-// serveEcho responds after 5 to 25 ms with the number of bytes of the request, and a body that ends with its id. Some
-// responses are long and sent in two parts, with a length or in chunks.
-func (h *host) serveEcho(w http.ResponseWriter, q *http.Request) {
-	received, err := io.Copy(io.Discard, q.Body)
-	if err != nil {
-		panic(http.ErrAbortHandler) // the request broke off, so it does not run
-	}
-	time.Sleep(time.Duration(5+rand.IntN(20)) * time.Millisecond)
-	size := 2000
-	if rand.IntN(longFraction) == 0 {
-		size = 20_000 + rand.IntN(maxLongBody)
-	}
-	text := fmt.Sprintf("%d bytes %s for %s", received, strings.Repeat("x", size), q.Header.Get("Attempt-Id"))
-	if rand.IntN(2) == 0 {
-		w.Header().Set("Content-Length", strconv.Itoa(len(text)))
-	}
-	half := 0
-	if size > 2000 {
-		half = size / 2
-		_, _ = io.WriteString(w, text[:half])
-		_ = http.NewResponseController(w).Flush()
-		time.Sleep(time.Duration(rand.IntN(200)) * time.Millisecond)
-	}
-	_, _ = io.WriteString(w, text[half:])
-}
-
 // sendHeartbeats announces the targets until done is closed. A node that is down misses its heartbeats.
 func (r *soakRun) sendHeartbeats(done <-chan struct{}) {
 	for n := 2; ; n++ {
@@ -153,19 +127,6 @@
 	}
 }
 
-// upload returns a request body, of known or unknown length, and its size.
-func upload(random *rand.Rand) (size int, body io.Reader) {
-	size = random.IntN(40_000)
-	if random.IntN(longFraction) == 0 {
-		size += random.IntN(maxLongBody)
-	}
-	body = strings.NewReader(strings.Repeat("b", size))
-	if random.IntN(2) == 0 {
-		body = io.MultiReader(body) // hides the length from net/http
-	}
-	return size, body
-}
-
 // runClient sends requests one after another over keep-alive connections until done is closed.
 func (r *soakRun) runClient(seed uint64, done <-chan struct{}) {
 	random := rand.New(rand.NewPCG(seed, 1))
--- a/sidecar/soaktargets_test.go
+++ b/sidecar/soaktargets_test.go
@@ -1,9 +1,13 @@
 package sidecar_test
 
 import (
+	"fmt"
+	"io"
+	"math/rand/v2"
 	"net/http"
 	"slices"
 	"strconv"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -15,6 +19,45 @@
 // response shows a limit or a shutdown.
 const maxBeforeResponse = 8
 
+// serveEcho responds after 5 to 25 ms with the number of bytes of the request, and a body that ends with its id. Some
+// responses are long and sent in two parts, with a length or in chunks.
+func (h *host) serveEcho(w http.ResponseWriter, q *http.Request) {
+	received, err := io.Copy(io.Discard, q.Body)
+	if err != nil {
+		panic(http.ErrAbortHandler) // the request broke off, so it does not run
+	}
+	time.Sleep(time.Duration(5+rand.IntN(20)) * time.Millisecond)
+	size := 2000
+	if rand.IntN(longFraction) == 0 {
+		size = 20_000 + rand.IntN(maxLongBody)
+	}
+	text := fmt.Sprintf("%d bytes %s for %s", received, strings.Repeat("x", size), q.Header.Get("Attempt-Id"))
+	if rand.IntN(2) == 0 {
+		w.Header().Set("Content-Length", strconv.Itoa(len(text)))
+	}
+	half := 0
+	if size > 2000 {
+		half = size / 2
+		_, _ = io.WriteString(w, text[:half])
+		_ = http.NewResponseController(w).Flush()
+		time.Sleep(time.Duration(rand.IntN(200)) * time.Millisecond)
+	}
+	_, _ = io.WriteString(w, text[half:])
+}
+
+// upload returns a request body, of known or unknown length, and its size.
+func upload(random *rand.Rand) (size int, body io.Reader) {
+	size = random.IntN(40_000)
+	if random.IntN(longFraction) == 0 {
+		size += random.IntN(maxLongBody)
+	}
+	body = strings.NewReader(strings.Repeat("b", size))
+	if random.IntN(2) == 0 {
+		body = io.MultiReader(body) // hides the length from net/http
+	}
+	return size, body
+}
+
 // pacedTarget records the requests that reach a target while it names a limit on their rate.
 type pacedTarget struct {
 	limit float64 // requests per second
