--- a/daemon/providers.go
+++ b/daemon/providers.go
@@ -241,7 +241,7 @@
 // crashNotifier implements crash.Notifier. It exchanges the evidence of a crash with the other nodes of the service.
 type crashNotifier struct{ control *control.Control }
 
-func (n crashNotifier) NotifyCrash(ctx context.Context, service string, updates []quarantine.Update) {
+func (n crashNotifier) SendEvidence(ctx context.Context, service string, updates []quarantine.Update) {
 	var sends sync.WaitGroup
 	for _, m := range n.control.Members().Serving(service) {
 		sends.Add(1)
--- a/io/crash/crash.go
+++ b/io/crash/crash.go
@@ -29,9 +29,9 @@
 	window = time.Second
 )
 
-// Notifier sends evidence to the other nodes of a service.
+// Notifier sends evidence of crashes, or of the completion of a suspect, to the other nodes of a service.
 type Notifier interface {
-	NotifyCrash(ctx context.Context, service string, updates []quarantine.Update)
+	SendEvidence(ctx context.Context, service string, updates []quarantine.Update)
 }
 
 // Call is a call in flight.
@@ -113,7 +113,7 @@
 	d.options.OnCrash(s.Service, inFlight)
 	ctx, cancel := context.WithTimeout(context.Background(), notifyTimeout)
 	defer cancel()
-	d.options.Notifier.NotifyCrash(ctx, s.Service, d.options.Quarantine.UpdatesFor(now, fingerprints))
+	d.options.Notifier.SendEvidence(ctx, s.Service, d.options.Quarantine.UpdatesFor(now, fingerprints))
 	return true
 }
 
--- a/io/crash/crash_test.go
+++ b/io/crash/crash_test.go
@@ -38,7 +38,7 @@
 
 type notifier struct{ updates []quarantine.Update }
 
-func (n *notifier) NotifyCrash(_ context.Context, _ string, updates []quarantine.Update) {
+func (n *notifier) SendEvidence(_ context.Context, _ string, updates []quarantine.Update) {
 	n.updates = append(n.updates, updates...)
 }
 
--- a/io/fleet/evidence.go
+++ b/io/fleet/evidence.go
@@ -45,14 +45,14 @@
 	return f.quarantine.UpdatesFor(now, fingerprints)
 }
 
-// NotifyCrash implements crash.Notifier. Gossip repeats the updates for nodes that do not reply or are down.
-func (f *Fleet) NotifyCrash(ctx context.Context, service string, updates []quarantine.Update) {
+// SendEvidence implements crash.Notifier. Gossip repeats the updates for nodes that do not reply or are down.
+func (f *Fleet) SendEvidence(ctx context.Context, service string, updates []quarantine.Update) {
 	if len(updates) == 0 {
 		return
 	}
 	var wg sync.WaitGroup
 	for _, r := range f.roster.Reachable(service) {
-		wg.Go(func() { f.sendEvidence(ctx, r, updates) })
+		wg.Go(func() { f.exchangeEvidence(ctx, r, updates) })
 	}
 	wg.Wait()
 }
@@ -71,11 +71,11 @@
 	ctx, cancel := context.WithTimeout(f.ctx, messageTimeout)
 	defer cancel()
 	for _, r := range others[:min(evidenceFanout, len(others))] {
-		f.sendEvidence(ctx, r, updates)
+		f.exchangeEvidence(ctx, r, updates)
 	}
 }
 
-func (f *Fleet) sendEvidence(ctx context.Context, r roster.Record, updates []quarantine.Update) {
+func (f *Fleet) exchangeEvidence(ctx context.Context, r roster.Record, updates []quarantine.Update) {
 	reply, err := f.link.Exchange(ctx, r.Address, hostlink.GossipMessage{From: f.roster.Self(), Version: f.Version(), Evidence: updates})
 	if err == nil && reply.From.Host == r.Host { // a host that does not reply is noticed by the exchanges of records
 		f.applyMessage(reply)
--- a/io/localtarget/localtarget_test.go
+++ b/io/localtarget/localtarget_test.go
@@ -54,8 +54,8 @@
 	notified []quarantine.Update
 }
 
-// NotifyCrash implements crash.Notifier.
-func (f *fixture) NotifyCrash(_ context.Context, _ string, updates []quarantine.Update) {
+// SendEvidence implements crash.Notifier.
+func (f *fixture) SendEvidence(_ context.Context, _ string, updates []quarantine.Update) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.notified = append(f.notified, updates...)
--- a/io/localtarget/suspect.go
+++ b/io/localtarget/suspect.go
@@ -122,6 +122,6 @@
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), notifyTimeout)
 		defer cancel()
-		e.notifier.NotifyCrash(ctx, service, updates)
+		e.notifier.SendEvidence(ctx, service, updates)
 	}()
 }
--- a/node/cluster_test.go
+++ b/node/cluster_test.go
@@ -115,8 +115,8 @@
 	return mustardmast.Member{}, false
 }
 
-// NotifyCrash implements crash.Notifier. It delivers the updates to every node immediately.
-func (c *cluster) NotifyCrash(_ context.Context, _ string, updates []quarantine.Update) {
+// SendEvidence implements crash.Notifier. It delivers the updates to every node immediately.
+func (c *cluster) SendEvidence(_ context.Context, _ string, updates []quarantine.Update) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for _, h := range c.hosts {
