--- a/core/quarantine/quarantine.go
+++ b/core/quarantine/quarantine.go
@@ -6,10 +6,11 @@
 // When a target crashes, any of the requests in flight there may be the cause, but at most one of them is. Correlation
 // tells them apart. A fingerprint that completes on any target is cleared of the crashes at which other requests were
 // in flight as well. A fingerprint that was in flight at two crashes and has not completed since is a suspect. A
-// suspect runs in isolation: at a single node of its service, which all nodes choose identically, and with nothing else
-// in flight at the target of that node. If the target then crashes, nothing else can be the cause, and the fingerprint
-// is quarantined. A request that is in flight at crashes by chance is therefore never quarantined, however often this
-// happens; at worst it runs in isolation, completes and is cleared.
+// suspect runs in isolation: at a single node of its service, which all nodes with the same evidence choose
+// identically, if possible one whose target has not crashed with it, and with nothing else in flight at the target of
+// that node. If the target then crashes, nothing else can be the cause, and the fingerprint is quarantined. A request
+// that is in flight at crashes by chance is therefore never quarantined, however often this happens; at worst it runs
+// in isolation, completes and is cleared.
 //
 // Nodes exchange evidence. Evidence only grows and can be merged in any order; since hosts do not share a clock, ages
 // are sent instead of times. A node sends its updates about a crash to the nodes of the service before it responds to
--- a/io/fleet/fleet.go
+++ b/io/fleet/fleet.go
@@ -4,7 +4,7 @@
 // of the others, and sends its own record to each of them. From then on nodes send each other their changes, and a node
 // that cannot be reached is retried directly. The configuration is read by a watch on the store. In addition every
 // reply and every gossip message carries the configuration version of its sender, and a node with an older version
-// fetches the configuration from the sender.
+// fetches the configuration from the sender. Nodes of the same service exchange evidence about requests that crash targets.
 package fleet
 
 import (
--- a/io/localtarget/localtarget.go
+++ b/io/localtarget/localtarget.go
@@ -2,7 +2,8 @@
 //
 // All calls to a target pass through the node beside it, so the Executor has the exact set of running and waiting
 // calls, the lifetime of the target that serves them, and whether the target is draining. Its decision is final: a call
-// that it rejects has not run and will not, and a call that is not repeatable is started at most once.
+// that it rejects has not run and will not, and a call that is not repeatable is started at most once. For the same reason
+// it sees which calls were in flight when the target crashed, and stops those that crash targets; see package quarantine.
 package localtarget
 
 import (
--- a/io/localtarget/suspect.go
+++ b/io/localtarget/suspect.go
@@ -41,7 +41,7 @@
 		}
 	}
 	alone, err := e.quarantine.Admit(now, r.fingerprint, serving)
-	if fault.KindOf(err) == fault.Shed { // by the kind shed, other nodes would not be offered the call
+	if fault.KindOf(err) == fault.Shed { // a call that is shed is not offered to other nodes
 		return fault.New(fault.QueueFull, fault.From(err).Detail()).WithRetryAfter(maxIdleWait)
 	}
 	if err != nil || !alone {
