io/placement: a silent host is noticed although a call was sent late

Cause: the time at which a host counts as silent was counted from when the goroutine of the offer ran, the timer that looks for it from before. If the goroutine started late, the host was not silent yet when the timer fired, and nobody looked again.

The offer's own start counts now.

--- a/io/placement/attempt.go
+++ b/io/placement/attempt.go
@@ -81,10 +81,10 @@
 func (a *attempt) offer(ctx context.Context, host roster.Record) (*mustardmast.TargetReply, error) {
 	delays := a.hedgeDelays(host)
 	if len(delays) == 0 {
-		return a.finish(a.send(ctx, host, a.offerNumber(), a.copy()))
+		return a.finish(a.send(ctx, time.Now(), host, a.offerNumber(), a.copy()))
 	}
-	began := time.Now()
 	first := a.start(ctx, host)
+	began := time.Now() // not before the start, since when the host may be silent
 	timer := time.NewTimer(delays[0].after)
 	defer timer.Stop()
 	for _, d := range delays {
@@ -191,9 +191,9 @@
 func (a *attempt) start(ctx context.Context, host roster.Record) *pendingOffer {
 	ctx, cancel := context.WithCancel(ctx)
 	p := &pendingOffer{host: host.Host, cancel: cancel, outcome: make(chan outcome, 1)}
-	offerNumber, c := a.offerNumber(), a.copy()
+	began, offerNumber, c := time.Now(), a.offerNumber(), a.copy()
 	go func() {
-		o := a.send(ctx, host, offerNumber, c)
+		o := a.send(ctx, began, host, offerNumber, c)
 		if o.err != nil {
 			cancel()
 		} else {
@@ -230,9 +230,10 @@
 	return c
 }
 
-// send sends a copy of the call to a host. It does not modify the attempt, so two sends may run concurrently.
-func (a *attempt) send(ctx context.Context, host roster.Record, number int, c mustardmast.TargetCall) outcome {
-	p, began := a.placer, time.Now()
+// send sends a copy of the call to a host. Began is when the offer was started. It does not modify the attempt, so two sends
+// may run concurrently.
+func (a *attempt) send(ctx context.Context, began time.Time, host roster.Record, number int, c mustardmast.TargetCall) outcome {
+	p := a.placer
 	lastReport, age, _ := p.roster.LastReport(began, host.Host)
 	p.roster.RecordSent(began, host.Host)
 	defer p.roster.RecordEnded(host.Host)
