io/fleet: a change at a reused revision of a restored store is noticed

Callers' requests were handled by an old version of the configuration, for good: a change that the store had confirmed was in force on no node.

Cause: a node kept the revision of its last watch, and took it as a state of whatever history the store had by then. After a restore from a copy, revisions are given out again. A node that reached the store only after its revisions had passed that of the watch got no 410; it watched from a state of the lost history and missed the changes of the new one up to there.

Change: a revision is compared and continued only within its era. The configuration is read instead of watched if the latest answer of the store had another era than the revision, if a watch was answered in another era or at a lower revision, and after a call without an answer, as the store may have been restored since; the answer of a watch that waits at such a revision would come only at the end of its wait. What a node finds by such a read it passes on.

--- a/core/era/era.go
+++ b/core/era/era.go
@@ -4,7 +4,11 @@
 // in an earlier era need not be there any more.
 package era
 
-import "sync"
+import (
+	"sync"
+
+	"mustardmast/core/revision"
+)
 
 // Tracker holds the latest era that a node has seen. The zero value has seen none. Its methods may be called
 // concurrently.
@@ -32,3 +36,10 @@
 	defer t.mu.Unlock()
 	return t.current
 }
+
+// Holds reports whether changes can be awaited from a revision: it identifies a state of the latest era.
+func (t *Tracker) Holds(r revision.Revision) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return r.Number != 0 && r.Era == t.current
+}
--- a/core/era/era_test.go
+++ b/core/era/era_test.go
@@ -6,6 +6,7 @@
 	"gotest.tools/v3/assert"
 
 	"mustardmast/core/era"
+	"mustardmast/core/revision"
 )
 
 // Guards against a restore that is not noticed, and against a late response of an earlier era that is taken for a restore.
@@ -20,3 +21,16 @@
 		assert.Equal(t, tracker.Current(), step.current, "%+v", step)
 	}
 }
+
+// Guards against a watch from a revision of an earlier era, or from none.
+func TestRevisionHoldsInTheLatestEraOnly(t *testing.T) {
+	var tracker era.Tracker
+	assert.Assert(t, !tracker.Holds(revision.Revision{}))
+	assert.Assert(t, tracker.Holds(revision.Revision{Number: 3})) // a store that states no era
+	tracker.Observe(2)
+	assert.Assert(t, !tracker.Holds(revision.Revision{Number: 3}))
+	assert.Assert(t, tracker.Holds(revision.Revision{Era: 2, Number: 3}))
+	assert.Assert(t, !tracker.Holds(revision.Revision{Era: 2}))
+	tracker.Observe(3)
+	assert.Assert(t, !tracker.Holds(revision.Revision{Era: 2, Number: 3}))
+}
--- a/core/revision/revision.go
+++ b/core/revision/revision.go
@@ -9,3 +9,6 @@
 	Era    uint64 // rises by one with each restore; 0 if the store does not state it
 	Number uint64 // of changes in the history of this era
 }
+
+// Follows reports whether r is o or a later state of the same history, so that the changes from o to r are known.
+func (r Revision) Follows(o Revision) bool { return r.Era == o.Era && r.Number >= o.Number }
--- a/io/fleet/configuration.go
+++ b/io/fleet/configuration.go
@@ -81,23 +81,24 @@
 }
 
 func (f *Fleet) followConfiguration() {
-	var at revision.Revision
+	var at revision.Revision // of the last answer; the zero value if the configuration has to be read
 	waits := watch.New(rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
 	delay := minRetryDelay
 	for f.ctx.Err() == nil {
 		var d routing.Document
 		var err error
 		from, began := at, f.timers.Now()
-		if at.Number == 0 {
+		watching := f.era.Holds(from)
+		if watching {
+			d, err = f.store.WatchConfiguration(f.ctx, from, waits.Next(f.roster.Size()))
+		} else {
 			ctx, cancel := context.WithTimeout(f.ctx, callTimeout)
 			d, err = f.store.Configuration(ctx)
 			cancel()
-		} else {
-			d, err = f.store.WatchConfiguration(f.ctx, at, waits.Next(f.roster.Size()))
 		}
 		f.recordStoreStatus(err)
 		f.observeEra(d.Revision.Era)
-		if from.Number != 0 && d.Raw == nil {
+		if watching && d.Raw == nil {
 			f.log.Write(eventlog.ConfigWatchEnded, zap.Uint64("from", from.Number), zap.Uint64("from-era", from.Era),
 				zap.Uint64("revision", d.Revision.Number), zap.Uint64("era", d.Revision.Era), zap.Bool("history-lost", d.HistoryLost),
 				zap.Duration("took", f.timers.Now().Sub(began)), zap.Error(err))
@@ -105,22 +106,24 @@
 		switch {
 		case err != nil && d.Raw != nil:
 			f.log.Write(eventlog.ConfigObjectUnreadable, zap.Error(err))
-			at = d.Revision
 		case err != nil:
+			if d.Revision.Era == 0 {
+				at = revision.Revision{} // without an answer, the store may have been restored
+			}
 			f.store.CloseIdle()
 			f.sleep(delay)
 			delay = min(maxRetryDelay, 2*delay)
 			continue
-		case d.HistoryLost:
+		}
+		at = d.Revision
+		if d.HistoryLost || watching && !at.Follows(from) {
 			at = revision.Revision{}
-		default:
-			at = d.Revision
 		}
 		delay = minRetryDelay
 		if d.Table != nil {
-			f.install(d.Table, d.Raw, source{name: "platform", watch: from.Number != 0})
+			f.install(d.Table, d.Raw, source{name: "platform", watch: watching && at.Number != 0})
 		}
-		if f.Table() == nil {
+		if f.Table() == nil || !watching && !f.era.Holds(at) {
 			f.sleep(minRetryDelay)
 		}
 	}
