io/fleet: hosts enroll again in a restored store

Callers of a host that joined after the store had been restored got 503 for each service that had no target there, and 500 from targets whose calls had none; its target got no requests from other hosts.

Cause: a node wrote its entry and read the list of hosts once, when it started. A restore from a copy that is older than the entries loses them for good. A node that joins then reads an empty list, and nodes meet through the store only.

Change: core/enrollment decides when the two steps are due: the entry is written in each era of the store, and the list is read after it in the same era. Nodes take the steps when an answer shows a new era, spread over 5 ms for each host, since the store limits the rate of calls. The listing and the written entry bear the era of the answer that they came with. A node that leaves for good stops enrolling before it removes its entry.

--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -71,6 +71,13 @@
 	Reason   error
 }
 
+// Listing is a list of the entries of hosts in the platform's store.
+type Listing struct {
+	Era        uint64 // of the store; the earliest one if the list was read in several
+	Hosts      []Record
+	Unreadable []Unreadable
+}
+
 // newer reports whether r supersedes o.
 func (r Record) newer(o Record) bool {
 	if r.Started != o.Started {
--- a/io/fleet/configuration.go
+++ b/io/fleet/configuration.go
@@ -138,6 +138,9 @@
 	// minRetryDelay and maxRetryDelay bound the delay after a failed call to the store.
 	minRetryDelay = 100 * time.Millisecond
 	maxRetryDelay = time.Second
+	// enrollSpreadPerHost times the number of hosts is the time over which the hosts enroll again in a restored store,
+	// whose rate of calls is limited.
+	enrollSpreadPerHost = 5 * time.Millisecond
 	// messageTimeout limits an exchange of one message with another node.
 	messageTimeout = 600 * time.Millisecond
 	// gossipPeriod is the interval at which a node synchronizes its hosts with another one. A node that starts while the
--- a/io/fleet/fleet.go
+++ b/io/fleet/fleet.go
@@ -1,7 +1,7 @@
 // Package fleet keeps the hosts that a node knows and its configuration consistent with those of the other nodes.
 //
-// The platform's store is used for discovery: each node registers its address there when it starts, reads the entries
-// of the others, and sends its own record to each of them. From then on nodes send each other their changes, and a node
+// The platform's store is used for discovery: each node registers its address there when it starts and when the store was
+// restored from a copy, reads the entries of the others, and sends its own record to each of them. From then on nodes send each other their changes, and a node
 // that cannot be reached is retried directly. The configuration is read by a watch on the store. In addition every
 // reply and every gossip message carries the configuration version of its sender, and a node with an older version
 // fetches the configuration from the sender. Nodes of the same service exchange evidence about requests that crash targets.
@@ -20,6 +20,7 @@
 	"go.uber.org/zap"
 
 	"mustardmast"
+	"mustardmast/core/enrollment"
 	"mustardmast/core/era"
 	"mustardmast/core/fault"
 	"mustardmast/core/quarantine"
@@ -34,8 +35,8 @@
 type Store interface {
 	Configuration(ctx context.Context) (routing.Document, error)
 	WatchConfiguration(ctx context.Context, after revision.Revision, wait time.Duration) (routing.Document, error)
-	Hosts(ctx context.Context) (hosts []roster.Record, unreadable []roster.Unreadable, err error)
-	Register(ctx context.Context, r roster.Record) error
+	Hosts(ctx context.Context) (roster.Listing, error)
+	Register(ctx context.Context, r roster.Record) (era uint64, err error)
 	Remove(ctx context.Context, host string) error
 	CloseIdle()
 }
@@ -59,23 +60,32 @@
 	fetching   atomic.Bool
 	exchanging sync.Map // hosts with an exchange in progress
 	unreadable atomic.Int64
-	logged     map[string]uint64 // revision of each unreadable entry that has been logged; used by join only
+	logged     map[string]uint64 // revision of each unreadable entry that has been logged; used by enroll only
 	ctx        context.Context
 	stop       context.CancelFunc
+
+	restored       chan struct{} // has a value after the store was restored
+	enrolling      context.Context
+	stopEnrolling  context.CancelFunc
+	enrollingEnded chan struct{}
 }
 
 // New returns a fleet without hosts and configuration. Decode decodes a configuration that another node has sent. Evidence
 // in q is exchanged with the nodes of the same service.
 func New(r *roster.Roster, link *hostlink.Client, s Store, t mustardmast.Timers, decode func([]byte) (*routing.Table, error), q *quarantine.Quarantine, l *eventlog.Log) *Fleet {
 	ctx, stop := context.WithCancel(context.Background())
-	return &Fleet{roster: r, link: link, store: s, timers: t, decode: decode, quarantine: q, log: l, logged: map[string]uint64{}, ctx: ctx, stop: stop}
+	enrolling, stopEnrolling := context.WithCancel(ctx)
+	return &Fleet{
+		roster: r, link: link, store: s, timers: t, decode: decode, quarantine: q, log: l, logged: map[string]uint64{}, ctx: ctx, stop: stop,
+		restored: make(chan struct{}, 1), enrolling: enrolling, stopEnrolling: stopEnrolling, enrollingEnded: make(chan struct{}),
+	}
 }
 
 // Start starts reading the store and exchanging messages with other nodes.
 func (f *Fleet) Start() {
 	f.requestEvidence()
 	go f.followConfiguration()
-	go f.join()
+	go f.keepEnrolled()
 	f.timers.Every(probePeriod, func(now time.Time) {
 		for _, r := range f.roster.DueForRetry(now) {
 			go f.probe(r)
@@ -106,59 +116,84 @@
 	before := f.era.Current()
 	if f.era.Observe(number) {
 		f.log.Write(eventlog.PlatformRestored, zap.Uint64("era", number), zap.Uint64("before", before), zap.Uint64("version", f.Version()))
+		select {
+		case f.restored <- struct{}{}:
+		default: // the last restore has not been handled yet
+		}
 	}
 }
 
 // StoreEra returns the latest era that a response of the store has stated; 0 if none has.
 func (f *Fleet) StoreEra() uint64 { return f.era.Current() }
 
-func (f *Fleet) sleep(d time.Duration) {
-	timer := time.NewTimer(d/2 + rand.N(d))
+func (f *Fleet) sleep(d time.Duration) { sleep(f.ctx, d/2+rand.N(d)) }
+
+func sleep(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
 	defer timer.Stop()
 	select {
-	case <-f.ctx.Done():
+	case <-ctx.Done():
 	case <-timer.C:
 	}
 }
 
-// join registers this host in the store, reads the other hosts, and sends them its record.
-func (f *Fleet) join() {
-	registered, delay := false, minRetryDelay
-	for f.ctx.Err() == nil {
+// keepEnrolled enrolls this host at the start and whenever the store has been restored.
+func (f *Fleet) keepEnrolled() {
+	defer close(f.enrollingEnded)
+	var e enrollment.Enrollment
+	for {
+		f.enroll(&e)
+		select {
+		case <-f.enrolling.Done():
+			return
+		case <-f.restored:
+		}
+		sleep(f.enrolling, rand.N(time.Duration(f.roster.Size())*enrollSpreadPerHost))
+	}
+}
+
+// enroll registers this host in the store, reads the other hosts, and sends them its record.
+func (f *Fleet) enroll(e *enrollment.Enrollment) {
+	delay := minRetryDelay
+	for f.enrolling.Err() == nil && e.ListDue(f.era.Current()) {
 		var err error
-		if !registered {
-			if err = f.register(); err == nil {
-				registered = true
-			}
+		if e.EntryDue(f.era.Current()) {
+			err = f.register(e)
 		}
-		if listErr := f.readHosts(); listErr == nil {
-			if registered {
-				return
-			}
-		} else {
+		if listErr := f.readHosts(e); listErr != nil {
 			err = listErr
 		}
+		if err == nil {
+			continue
+		}
 		f.log.Write(eventlog.HostNotRegistered, zap.Error(err))
-		f.sleep(delay)
+		sleep(f.enrolling, delay/2+rand.N(delay))
 		delay = min(maxRetryDelay, 2*delay)
 	}
 }
 
-func (f *Fleet) register() error {
-	ctx, cancel := context.WithTimeout(f.ctx, callTimeout)
+func (f *Fleet) register(e *enrollment.Enrollment) error {
+	ctx, cancel := context.WithTimeout(f.enrolling, callTimeout)
 	defer cancel()
-	return f.store.Register(ctx, f.roster.Self())
+	era, err := f.store.Register(ctx, f.roster.Self())
+	f.observeEra(era)
+	if err == nil {
+		e.Registered(era)
+	}
+	return err
 }
 
-func (f *Fleet) readHosts() error {
-	ctx, cancel := context.WithTimeout(f.ctx, callTimeout)
+func (f *Fleet) readHosts(e *enrollment.Enrollment) error {
+	ctx, cancel := context.WithTimeout(f.enrolling, callTimeout)
 	defer cancel()
-	hosts, unreadable, err := f.store.Hosts(ctx)
+	list, err := f.store.Hosts(ctx)
+	f.observeEra(list.Era)
 	if err != nil {
 		return err
 	}
-	f.recordUnreadable(unreadable)
-	for _, r := range hosts {
+	e.Listed(list.Era)
+	f.recordUnreadable(list.Unreadable)
+	for _, r := range list.Hosts {
 		r.Ready = true // until the host reports otherwise
 		f.merge(r, false)
 	}
@@ -339,6 +374,8 @@
 	if !permanent {
 		return
 	}
+	f.stopEnrolling() // which would write the entry again if the store is restored now
+	<-f.enrollingEnded
 	ctx, cancel := context.WithTimeout(f.ctx, callTimeout)
 	defer cancel()
 	if err := f.store.Remove(ctx, f.roster.Self().Host); err != nil {
--- a/sidecar/cluster_test.go
+++ b/sidecar/cluster_test.go
@@ -184,6 +184,14 @@
 	assert.Equal(h.c.t, r.StatusCode, http.StatusOK)
 }
 
+// deregister announces that the target is gone.
+func (h *host) deregister() {
+	h.c.t.Helper()
+	r, err := http.Post("http://"+h.ip+":8306/v1/instances/i-1/deregister", "", nil)
+	assert.NilError(h.c.t, err)
+	_ = r.Body.Close()
+}
+
 // target is a stub of a target that counts the runs of each request.
 type target struct {
 	id        string
--- a/sidecar/restored_test.go
+++ b/sidecar/restored_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"net/http"
 	"slices"
 	"testing"
 	"time"
@@ -65,3 +66,76 @@
 		})
 	}
 }
+
+// A restore loses the entries of all hosts. Guards against a host that joins afterwards and that no other host knows.
+func TestHostJoinsAfterRestore(t *testing.T) {
+	c := newCluster(t)
+	copied := c.store.Copy()
+	c.add("board", "a")
+	entry := c.add("ledger", "b")
+	c.store.Restore(copied, storestub.WatchesCut)
+	joined := c.add("board", "c") // waits until the others know it
+	eventually(t, restoreTime, func() bool {
+		_, resp, _ := joined.send("POST", "/ledger/", nil, nil)
+		return resp.StatusCode == http.StatusOK
+	})
+	eventually(t, restoreTime, func() bool {
+		id, _, _ := entry.send("GET", "/board/", nil, nil)
+		return joined.target.runCount(id) == 1
+	})
+	eventually(t, restoreTime, func() bool { return len(c.store.Names("mustardmast-hosts")) == len(c.hosts) })
+}
+
+// A host leaves for good, and the restored store has its entry again. Guards against a host that has left in use again, by
+// those that knew it and by one that joins later.
+func TestHostThatLeftBeforeRestore(t *testing.T) {
+	c := newCluster(t)
+	c.add("ledger", "a")
+	c.add("board", "b")
+	leaving := c.add("board", "c")
+	copied := c.store.Copy()
+	leaving.deregister()
+	leaving.stop()
+	<-leaving.ended
+	c.hosts = c.hosts[:2]
+	assert.Equal(t, len(c.store.Names("mustardmast-hosts")), 2)
+	c.store.Restore(copied, storestub.WatchesCut)
+	c.add("board", "d")
+	for _, h := range c.hosts {
+		eventually(t, restoreTime, func() bool { return !slices.Contains(h.knownHosts(), "node-"+leaving.ip) })
+	}
+	for range 50 {
+		id, resp, _ := c.hosts[0].send("GET", "/board/", nil, nil)
+		assert.Equal(t, resp.StatusCode, http.StatusOK)
+		assert.Equal(t, leaving.target.runCount(id), 0)
+	}
+}
+
+// The store is restored while a host leaves for good. Guards against a host that writes its entry again after it has
+// removed it.
+func TestHostThatLeavesDuringRestore(t *testing.T) {
+	c := newCluster(t)
+	copied := c.store.Copy()
+	staying, leaving := c.add("ledger", "a"), c.add("board", "b")
+	leaving.deregister()
+	leaving.stop()
+	eventually(t, restoreTime, func() bool { return len(c.store.Names("mustardmast-hosts")) == 1 })
+	c.store.Restore(copied, storestub.WatchesCut)
+	<-leaving.ended
+	eventually(t, restoreTime, func() bool { return len(c.store.Names("mustardmast-hosts")) > 0 })
+	assert.DeepEqual(t, c.store.Names("mustardmast-hosts"), []string{"node-" + staying.ip})
+}
+
+// knownHosts returns the names of the hosts that the node of a host knows.
+func (h *host) knownHosts() []string {
+	link := hostlink.NewClient(net.IPv4(127, 0, 0, 1), func(string) {})
+	defer link.Close()
+	// Digests of nodes are odd. Digest 2 therefore differs from the node's, and its reply has all hosts that it knows.
+	reply, err := link.Exchange(context.Background(), h.ip+":7620", hostlink.GossipMessage{Digest: 2})
+	assert.Check(h.c.t, err)
+	var names []string
+	for _, r := range reply.Hosts {
+		names = append(names, r.Host)
+	}
+	return names
+}
--- a/sidecar/sidecar_test.go
+++ b/sidecar/sidecar_test.go
@@ -237,9 +237,7 @@
 	c.add("board", "a")
 	deregistered := c.add("board", "b")
 	assert.Equal(t, len(c.store.Names("mustardmast-hosts")), 2)
-	r, err := http.Post("http://"+deregistered.ip+":8306/v1/instances/i-1/deregister", "", nil)
-	assert.NilError(t, err)
-	_ = r.Body.Close()
+	deregistered.deregister()
 	deregistered.stop()
 	<-deregistered.ended
 	assert.DeepEqual(t, c.store.Names("mustardmast-hosts"), []string{"node-" + c.hosts[0].ip})
@@ -348,9 +346,7 @@
 		c.store.Put("mustardmast-hosts", fmt.Sprint("silent", n), []byte(fmt.Sprintf(`{"address":%q,"domain":"b","service":"board"}`, l.Addr())))
 	}
 	last := c.add("ledger", "a")
-	r, err := http.Post("http://"+last.ip+":8306/v1/instances/i-1/deregister", "", nil)
-	assert.NilError(t, err)
-	_ = r.Body.Close()
+	last.deregister()
 	c.store.Hang(true)
 	defer c.store.Hang(false)
 	start := time.Now()
