sidecar: soak with restores of the store

TestSoakRestoredStore restores the store from copies, also from one without any host, with watches that are cut, silent or go on, while nodes are killed, paused, stopped, cut off from the store and the configuration changes. Afterwards every node must follow a change in time, a host that joins must be known to the others, and the entries of all hosts must be in the store again.

--- a/sidecar/cluster_test.go
+++ b/sidecar/cluster_test.go
@@ -32,6 +32,8 @@
 	storeAddress string
 	hosts        []*host
 
+	written atomic.Pointer[json.RawMessage] // the latest configuration, as the operator wrote it
+
 	program string // of the node processes; empty for nodes within the test process
 	logs    string // directory for the output of the processes
 }
@@ -68,11 +70,16 @@
 }
 
 func (c *cluster) configure(version int, rules ...string) {
-	c.store.Put("config", "main", json.RawMessage(fmt.Sprintf(
+	document := json.RawMessage(fmt.Sprintf(
 		`{"Version":"r%d","Limits":{"MaxHeaderBytes":16384,"MaxBodyBytes":1048576},"Listeners":[{"Host":"a.example","Rules":[%s]}],
-		"Clusters":[{"Name":"board","HealthCheckPath":"/healthz"},{"Name":"ledger","HealthCheckPath":"/healthz"}]}`, version, strings.Join(rules, ","))))
+		"Clusters":[{"Name":"board","HealthCheckPath":"/healthz"},{"Name":"ledger","HealthCheckPath":"/healthz"}]}`, version, strings.Join(rules, ",")))
+	c.written.Store(&document)
+	c.store.Put("config", "main", document)
 }
 
+// writeAgain writes the latest configuration again, as the operator does after a restore of the store.
+func (c *cluster) writeAgain() { c.store.Put("config", "main", *c.written.Load()) }
+
 // add starts a host with its target and waits until the node is ready.
 func (c *cluster) add(service, domain string) *host {
 	c.t.Helper()
--- a/sidecar/restored_test.go
+++ b/sidecar/restored_test.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"slices"
+	"sync"
 	"testing"
 	"time"
 
@@ -18,6 +19,9 @@
 // long as for a change that no watch was told of.
 const restoreTime = 4 * time.Second
 
+// maxWatch is the longest time for which a watch can go without a response, after which its node notices a restore.
+const maxWatch = 31 * time.Second
+
 // versions returns the version of the configuration on each node, asked without a request, whose reply would spread it.
 func (c *cluster) versions() []uint64 {
 	link := hostlink.NewClient(net.IPv4(127, 0, 0, 1), func(string) {})
@@ -58,7 +62,7 @@
 			seen := c.store.Revision()
 			c.store.Hang(true)
 			c.store.Restore(copied, watches)
-			c.configure(6, rule("/board/", "idempotent", 2, "board", 2)) // the operator writes again what was lost
+			c.writeAgain()
 			c.configure(9, rule("/board/", "idempotent", 2, "ledger", 2))
 			assert.Equal(t, c.store.Revision(), seen)
 			c.store.Hang(false)
@@ -139,3 +143,44 @@
 	}
 	return names
 }
+
+// restoreFaults are the kinds of faults of TestSoakRestoredStore.
+var restoreFaults = []string{"restore", "restore", "restore", "kill", "pause", "term", "configure", "configure", "slow-link", "reset-link", "one-way-link", "stalled-link", "missed-change"}
+
+// restoreStore restores the store, after other faults and an outage, from a copy that is made now or that has no hosts. The
+// operator writes its configuration again, and may change it before the nodes reach the store.
+func (r *soakRun) restoreStore(wg *sync.WaitGroup, duration time.Duration) {
+	copied := r.store.Copy()
+	if r.random.IntN(3) == 0 {
+		copied = r.empty
+	}
+	watches, changes := storestub.Watches(r.random.IntN(3)), r.random.IntN(4)
+	wg.Go(func() {
+		time.Sleep(2 * duration)
+		r.store.Hang(true)
+		time.Sleep(duration / 2)
+		r.store.Restore(copied, watches)
+		r.writeAgain()
+		for n := range changes {
+			r.write(1, []string{"board", "ledger"}[n%2])
+		}
+		r.store.Hang(false)
+	})
+}
+
+// Guards against a node that does not follow the configuration after restores of the store, or that other nodes can no
+// longer find, whether it lived, was restarted, joined, or was cut off meanwhile.
+func TestSoakRestoredStore(t *testing.T) {
+	program := buildProgram(t)
+	runSeeds(t, []uint64{1, 2}, func(t *testing.T, seed uint64) {
+		r := soakOnce(t, program, restoreFaults, seed)
+		r.addEchoHost() // waits until the others know it
+		joined := r.hosts[len(r.hosts)-1]
+		eventually(t, restoreTime, func() bool {
+			_, a, _ := joined.send("GET", "/new/", nil, nil)
+			_, b, _ := joined.send("POST", "/ledger/", nil, nil)
+			return a.StatusCode == http.StatusOK && b.StatusCode == http.StatusOK
+		})
+		eventually(t, maxWatch, func() bool { return len(r.store.Names("mustardmast-hosts")) == len(r.hosts) })
+	})
+}
--- a/sidecar/soak_test.go
+++ b/sidecar/soak_test.go
@@ -18,6 +18,7 @@
 	"gotest.tools/v3/assert"
 
 	"mustardmast/internal/soak"
+	"mustardmast/platform/storestub"
 )
 
 // The soak test runs nodes as processes and injects faults from outside: signals, a store that fails, targets that drop
@@ -78,8 +79,12 @@
 // soakRun is one run of the soak test with its random choices.
 type soakRun struct {
 	*cluster
-	random  *rand.Rand
-	version int
+	random *rand.Rand
+	kinds  []string // of faults
+	empty  storestub.Copy
+
+	configuring sync.Mutex // held while the operator writes
+	version     int        // guarded by configuring
 
 	mu      sync.Mutex
 	history []sentRequest
@@ -88,9 +93,10 @@
 	leaves  [][]string // requests that reached a target which stated that it was shutting down
 }
 
-func newSoakRun(t *testing.T, program string, seed uint64) *soakRun {
+func newSoakRun(t *testing.T, program string, kinds []string, seed uint64) *soakRun {
 	t.Helper()
-	r := &soakRun{cluster: newCluster(t), random: rand.New(rand.NewPCG(seed, seed)), version: 10}
+	r := &soakRun{cluster: newCluster(t), random: rand.New(rand.NewPCG(seed, seed)), kinds: kinds, version: 10}
+	r.empty = r.store.Copy()
 	r.program, r.logs = program, t.TempDir()
 	t.Cleanup(func() {
 		if t.Failed() {
@@ -98,13 +104,19 @@
 			keepLogs(t, r.logs, seed)
 		}
 	})
-	for n := range soak.Hosts(soakHosts) {
-		h := r.add([]string{"board", "ledger"}[n%2], string(rune('a'+n%3)))
-		h.setTargetHandler(func(w http.ResponseWriter, q *http.Request) { h.serveEcho(w, q) })
+	for range soak.Hosts(soakHosts) {
+		r.addEchoHost()
 	}
 	return r
 }
 
+// addEchoHost adds a host whose target responds with what it was sent.
+func (r *soakRun) addEchoHost() {
+	n := len(r.hosts)
+	h := r.add([]string{"board", "ledger"}[n%2], string(rune('a'+n%3)))
+	h.setTargetHandler(func(w http.ResponseWriter, q *http.Request) { h.serveEcho(w, q) })
+}
+
 func (h *host) setTargetHandler(f http.HandlerFunc) { h.target.setHandler(f) }
 
 // sendHeartbeats announces the targets until done is closed. A node that is down misses its heartbeats.
@@ -155,8 +167,7 @@
 func (r *soakRun) injectFault(wg *sync.WaitGroup) {
 	h := r.hosts[r.random.IntN(len(r.hosts))]
 	duration := time.Duration(100+r.random.IntN(1400)) * time.Millisecond
-	kinds := []string{"kill", "pause", "term", "store", "configure", "lose", "cut", "slow-link", "reset-link", "one-way-link", "stalled-link", "limit", "missed-change", "leave"}
-	kind := kinds[r.random.IntN(len(kinds))]
+	kind := r.kinds[r.random.IntN(len(r.kinds))]
 	r.plan = append(r.plan, fmt.Sprintf("%s %s for %v", kind, h.ip, duration))
 	switch kind {
 	case "kill", "pause", "term":
@@ -166,6 +177,8 @@
 		wg.Go(func() { time.Sleep(duration); r.store.Fail(0) })
 	case "configure":
 		r.switchRoute()
+	case "restore":
+		r.restoreStore(wg, duration)
 	case "missed-change":
 		r.store.PauseWatches()
 		r.switchRoute()
@@ -244,8 +257,14 @@
 
 // switchRoute writes a configuration that routes /board/ to a randomly chosen service.
 func (r *soakRun) switchRoute() {
-	r.version += 1 + r.random.IntN(3)
-	service := []string{"board", "ledger"}[r.random.IntN(2)]
+	r.write(1+r.random.IntN(3), []string{"board", "ledger"}[r.random.IntN(2)])
+}
+
+// write writes a configuration that routes /board/ to a service. Its version is higher by step.
+func (r *soakRun) write(step int, service string) {
+	r.configuring.Lock()
+	defer r.configuring.Unlock()
+	r.version += step
 	r.configure(r.version, rule("/board/", "idempotent", 2, service, 2), rule("/ledger/", "non_idempotent", 0, "ledger", 2))
 }
 
@@ -320,8 +339,12 @@
 	}
 }
 
-func soakOnce(t *testing.T, program string, seed uint64) {
-	r := newSoakRun(t, program, seed)
+// soakFaults are the kinds of faults of TestSoak. A change of the list changes what the seeds stand for.
+var soakFaults = []string{"kill", "pause", "term", "store", "configure", "lose", "cut", "slow-link", "reset-link", "one-way-link", "stalled-link", "limit", "missed-change", "leave"}
+
+func soakOnce(t *testing.T, program string, kinds []string, seed uint64) *soakRun {
+	t.Helper()
+	r := newSoakRun(t, program, kinds, seed)
 	done := make(chan struct{})
 	var clients, faults sync.WaitGroup
 	clients.Go(func() { r.sendHeartbeats(done) })
@@ -338,6 +361,7 @@
 	clients.Wait()
 	r.checkResponses(t)
 	r.checkConfigFollowed()
+	return r
 }
 
 // keepLogs copies the logs of a failed run to a directory that is not removed after the test.
@@ -354,16 +378,28 @@
 // overlapping faults. By default it runs fixed seeds; with MUSTARDMAST_SOAK_SECONDS it continues with new ones for that
 // time.
 func TestSoak(t *testing.T) {
+	program := buildProgram(t)
+	runSeeds(t, append([]uint64{1, 2, 3}, failedSeeds...), func(t *testing.T, seed uint64) { soakOnce(t, program, soakFaults, seed) })
+}
+
+// buildProgram builds the program of the nodes and returns its path.
+func buildProgram(t *testing.T) string {
+	t.Helper()
 	program := filepath.Join(t.TempDir(), "mustardmast")
 	out, err := exec.Command("go", "build", "-o", program, "mustardmast/cmd/mustardmast").CombinedOutput()
 	assert.NilError(t, err, "%s", out)
-	seeds := append([]uint64{1, 2, 3}, failedSeeds...)
+	return program
+}
+
+// runSeeds runs a test with the given seeds and, in a soak test, with new ones.
+func runSeeds(t *testing.T, seeds []uint64, run func(t *testing.T, seed uint64)) {
+	t.Helper()
 	newSeed := uint64(time.Now().UnixNano())
 	for _, seed := range seeds {
-		t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) { soakOnce(t, program, seed) })
+		t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) { run(t, seed) })
 	}
 	for end := time.Now().Add(soak.Duration()); time.Now().Before(end) && !t.Failed(); {
 		newSeed++
-		t.Run(strconv.FormatUint(newSeed, 10), func(t *testing.T) { soakOnce(t, program, newSeed) })
+		t.Run(strconv.FormatUint(newSeed, 10), func(t *testing.T) { run(t, newSeed) })
 	}
 }
