io/fleet: a host that enrolls again pauses between two rounds

A round that ended without an error, but in more than one era of the store, was followed by the next one at once. A store whose answers stay at different eras would have been called without a pause.

Found by reading.

--- a/io/fleet/fleet.go
+++ b/io/fleet/fleet.go
@@ -154,8 +154,7 @@
 
 // enroll registers this host in the store, reads the other hosts, and sends them its record.
 func (f *Fleet) enroll(e *enrollment.Enrollment) {
-	delay := minRetryDelay
-	for f.enrolling.Err() == nil && e.ListDue(f.era.Current()) {
+	for delay := minRetryDelay; f.enrolling.Err() == nil && e.ListDue(f.era.Current()); delay = min(maxRetryDelay, 2*delay) {
 		var err error
 		if e.EntryDue(f.era.Current()) {
 			err = f.register(e)
@@ -163,12 +162,12 @@
 		if listErr := f.readHosts(e); listErr != nil {
 			err = listErr
 		}
-		if err == nil {
-			continue
+		if err != nil && f.enrolling.Err() == nil {
+			f.log.Write(eventlog.HostNotRegistered, zap.Error(err))
+		}
+		if e.ListDue(f.era.Current()) {
+			sleep(f.enrolling, delay/2+rand.N(delay))
 		}
-		f.log.Write(eventlog.HostNotRegistered, zap.Error(err))
-		sleep(f.enrolling, delay/2+rand.N(delay))
-		delay = min(maxRetryDelay, 2*delay)
 	}
 }
 
