io/fleet: an unreadable entry of a restored store is logged

Operators would not have been told of an unreadable host entry in a restored store if another one of that name had had the same revision before: the node remembered the revision of each entry that it had logged, without its era. The same class as the revision of a watch: a revision compared across a restore.

--- a/io/fleet/fleet.go
+++ b/io/fleet/fleet.go
@@ -60,7 +60,7 @@
 	fetching   atomic.Bool
 	exchanging sync.Map // hosts with an exchange in progress
 	unreadable atomic.Int64
-	logged     map[string]uint64 // revision of each unreadable entry that has been logged; used by enroll only
+	logged     map[string]revision.Revision // of each unreadable entry that has been logged; used by enroll only
 	ctx        context.Context
 	stop       context.CancelFunc
 
@@ -76,7 +76,7 @@
 	ctx, stop := context.WithCancel(context.Background())
 	enrolling, stopEnrolling := context.WithCancel(ctx)
 	return &Fleet{
-		roster: r, link: link, store: s, timers: t, decode: decode, quarantine: q, log: l, logged: map[string]uint64{}, ctx: ctx, stop: stop,
+		roster: r, link: link, store: s, timers: t, decode: decode, quarantine: q, log: l, logged: map[string]revision.Revision{}, ctx: ctx, stop: stop,
 		restored: make(chan struct{}, 1), enrolling: enrolling, stopEnrolling: stopEnrolling, enrollingEnded: make(chan struct{}),
 	}
 }
@@ -191,7 +191,7 @@
 		return err
 	}
 	e.Listed(list.Era)
-	f.recordUnreadable(list.Unreadable)
+	f.recordUnreadable(list)
 	for _, r := range list.Hosts {
 		r.Ready = true // until the host reports otherwise
 		f.merge(r, false)
@@ -202,14 +202,15 @@
 }
 
 // recordUnreadable logs the entries that cannot be decoded, once for each of their revisions.
-func (f *Fleet) recordUnreadable(entries []roster.Unreadable) {
-	f.unreadable.Store(int64(len(entries)))
-	for _, e := range entries {
-		if revision, ok := f.logged[e.Name]; ok && revision == e.Revision {
+func (f *Fleet) recordUnreadable(list roster.Listing) {
+	f.unreadable.Store(int64(len(list.Unreadable)))
+	for _, e := range list.Unreadable {
+		at := revision.Revision{Era: list.Era, Number: e.Revision}
+		if last, ok := f.logged[e.Name]; ok && last == at {
 			continue
 		}
-		f.logged[e.Name] = e.Revision
-		f.log.Write(eventlog.HostEntryUnreadable, zap.String("entry", e.Name), zap.Uint64("revision", e.Revision), zap.Error(e.Reason))
+		f.logged[e.Name] = at
+		f.log.Write(eventlog.HostEntryUnreadable, zap.String("entry", e.Name), zap.Uint64("revision", e.Revision), zap.Uint64("era", list.Era), zap.Error(e.Reason))
 	}
 }
 
