sidecar: test of an older configuration in a restored store

The third hypothesis of docs/incidents/restored-store.md: nodes that start while the store has an older version, or have the latest one already, keep or install the older one. It is not reproduced: a node that starts has the latest version from the others, by the first replies to its record, and none goes back.

--- a/sidecar/restored_test.go
+++ b/sidecar/restored_test.go
@@ -71,6 +71,31 @@
 	}
 }
 
+// The restored store has an older configuration until the operator writes the latest one again. Guards against a node that
+// goes back to it, and against one that starts meanwhile and keeps it.
+func TestOlderConfigurationInRestoredStore(t *testing.T) {
+	c := newCluster(t)
+	c.add("board", "a")
+	restarted := c.add("ledger", "b")
+	copied := c.store.Copy()
+	c.configure(6, rule("/board/", "idempotent", 2, "ledger", 2))
+	c.awaitVersion(6, restoreTime)
+	c.store.Restore(copied, storestub.WatchesCut)
+	restarted.stop()
+	<-restarted.ended
+	restarted.start()
+	restarted.awaitReadiness(http.StatusOK)
+	c.add("board", "c")
+	c.awaitVersion(6, restoreTime)
+	for range 20 {
+		time.Sleep(50 * time.Millisecond)
+		assert.DeepEqual(t, c.versions(), []uint64{6, 6, 6})
+	}
+	c.writeAgain()
+	c.configure(9, rule("/board/", "idempotent", 2, "board", 2))
+	c.awaitVersion(9, restoreTime)
+}
+
 // A restore loses the entries of all hosts. Guards against a host that joins afterwards and that no other host knows.
 func TestHostJoinsAfterRestore(t *testing.T) {
 	c := newCluster(t)
