--- a/sidecar/cluster_test.go
+++ b/sidecar/cluster_test.go
@@ -34,6 +34,7 @@
 
 	written atomic.Pointer[json.RawMessage] // the latest configuration, as the operator wrote it
 
+	limits  string // of the machines, as in the settings
 	program string // of the node processes; empty for nodes within the test process
 	logs    string // directory for the output of the processes
 }
@@ -56,7 +57,7 @@
 
 func newCluster(t testing.TB) *cluster {
 	t.Helper()
-	c := &cluster{t: t, store: storestub.New()}
+	c := &cluster{t: t, store: storestub.New(), limits: `{"MemoryMb":284}`}
 	s := httptest.NewServer(c.store)
 	t.Cleanup(s.CloseClientConnections)
 	c.storeAddress = s.Listener.Addr().String()
@@ -118,10 +119,10 @@
 }
 
 func (h *host) writeSettings(service, domain, store string) {
-	text := fmt.Sprintf(`{"Self":{"Node":"node-%[1]s","Ip":%[1]q,"Zone":%[2]q,"AppAddress":"%[1]s:8301","Service":%[3]q,"Limits":{"MemoryMb":284}},
+	text := fmt.Sprintf(`{"Self":{"Node":"node-%[1]s","Ip":%[1]q,"Zone":%[2]q,"AppAddress":"%[1]s:8301","Service":%[3]q,"Limits":%[5]s},
 		"Network":{"Listen":{"Outbound":"%[1]s:8304","Readiness":"%[1]s:8302","ControlPlane":"%[1]s:8306"},"InternalPorts":[7620,7635]},
 		"Platform":{"Platform":{"Address":%[4]q}},
-		"Terms":{"Bounds":{"GraceS":3,"ConfigS":2,"BudgetRatio":0.2,"BudgetWindowS":10,"BudgetSlack":49}}}`, h.ip, domain, service, store)
+		"Terms":{"Bounds":{"GraceS":3,"ConfigS":2,"BudgetRatio":0.2,"BudgetWindowS":10,"BudgetSlack":49}}}`, h.ip, domain, service, store, h.c.limits)
 	assert.NilError(h.c.t, os.WriteFile(h.settings, []byte(text), 0o600))
 }
 
--- a/sidecar/soak_test.go
+++ b/sidecar/soak_test.go
@@ -120,14 +120,14 @@
 func (h *host) setTargetHandler(f http.HandlerFunc) { h.target.setHandler(f) }
 
 // sendHeartbeats announces the targets until done is closed. A node that is down misses its heartbeats.
-func (r *soakRun) sendHeartbeats(done <-chan struct{}) {
+func (c *cluster) sendHeartbeats(done <-chan struct{}) {
 	for n := 2; ; n++ {
 		select {
 		case <-done:
 			return
 		case <-time.After(400 * time.Millisecond):
 		}
-		for _, h := range r.hosts {
+		for _, h := range c.hosts {
 			go func() {
 				client := http.Client{Timeout: time.Second}
 				body := fmt.Sprintf(`{"Service":%q,"Address":"%s:8301","MaxConcurrency":20,"State":"ready","Sequence":%d,"born":%d}`, h.service, h.ip, n, h.target.startedMS.Load())
