io/inlet, sidecar: a crowd of connections takes neither all descriptors nor all room

Clients that we do not control could open more connections than a node has descriptors, on any port. The node could then neither accept others nor connect to its target, and each connection that was held cost memory without a bound.

Cause: no listener had a bound, neither the platform's MaxFds nor a part of the memory was known to the node, and a client that reads nothing of a response, or sends nothing of a body that nobody reads, held its connection for good.

Change: io/inlet accepts the connections of each port, up to a share of the descriptors and of the memory. core/connlimit decides which one ends when there is no room: the longest wait, first of those that have sent no request, then of idle ones, then of those whose response has not been read for a second. A request that is being served is never cut off for it; where there are only such, the new connection is closed, with nothing read. Connections of other nodes count as served once they have sent the preface.

TestOrdinaryRequestBeside- HeldConnections, written with this change, passes for seven kinds of holding.

golang.org/x/sys, already in the build, is used by a test directly.

Failed try: only requests that were served counted as a use of the connection, so idle connections of ports whose handlers serve at once were closed first.

--- a/io/httpdrain/httpdrain.go
+++ b/io/httpdrain/httpdrain.go
@@ -33,10 +33,16 @@
 	active   map[net.Conn]struct{}  // connections whose request is being read or served
 }
 
-// New returns a server that serves by s. It sets the ConnState hook of s.
+// New returns a server that serves by s. It extends the ConnState hook of s.
 func New(s *http.Server) *Server {
 	d := &Server{server: s, stopped: make(chan struct{}), opened: map[net.Conn]time.Time{}, active: map[net.Conn]struct{}{}}
-	s.ConnState = d.connStateChanged
+	hook := s.ConnState
+	s.ConnState = func(c net.Conn, state http.ConnState) {
+		d.connStateChanged(c, state)
+		if hook != nil {
+			hook(c, state)
+		}
+	}
 	return d
 }
 
@@ -70,7 +76,7 @@
 func (s *Server) Serve(l net.Listener) error {
 	defer close(s.stopped)
 	if tcp, ok := l.(*net.TCPListener); ok {
-		l = &listener{TCPListener: tcp}
+		l = NewListener(tcp)
 	}
 	s.mu.Lock()
 	s.listener = l
--- a/io/httpdrain/listener.go
+++ b/io/httpdrain/listener.go
@@ -19,6 +19,10 @@
 	queued []net.Conn // accepted while closing
 }
 
+// NewListener returns a listener that accepts all connections of its queue when it is closed. Serve makes one of a
+// net.TCPListener itself; a listener that wraps another one must wrap one of these.
+func NewListener(l *net.TCPListener) net.Listener { return &listener{TCPListener: l} }
+
 // Accept returns the next connection. After Close it returns those that were in the queue, and then net.ErrClosed.
 func (l *listener) Accept() (net.Conn, error) {
 	c, err := l.TCPListener.Accept()
--- a/io/ingress/ingress.go
+++ b/io/ingress/ingress.go
@@ -27,6 +27,7 @@
 	"mustardmast/core/quarantine"
 	"mustardmast/core/rejections"
 	"mustardmast/core/routing"
+	"mustardmast/io/inlet"
 	"mustardmast/io/localtarget"
 	"mustardmast/io/message"
 	"mustardmast/io/placement"
@@ -135,6 +136,9 @@
 		return
 	}
 	defer q.release()
+	if !inlet.Serving(r.Context()) {
+		panic(http.ErrAbortHandler) // the connection has been closed, and nothing of the request has run
+	}
 	ctx, cancel := context.WithDeadline(r.Context(), q.call.Deadline)
 	defer cancel()
 	defer context.AfterFunc(h.ctx, cancel)()
--- a/sidecar/crowd_test.go
+++ b/sidecar/crowd_test.go
@@ -14,6 +14,7 @@
 	"testing"
 	"time"
 
+	"golang.org/x/sys/unix"
 	"gotest.tools/v3/assert"
 )
 
@@ -189,12 +190,7 @@
 func (c *cluster) checkCrowd(t *testing.T, crowd func(h *host, end time.Time)) {
 	t.Helper()
 	attacked := c.hosts[0]
-	done := make(chan struct{})
-	var used []<-chan usage
-	for _, h := range c.hosts {
-		used = append(used, watchUsage(h.process.Pid, done))
-	}
-	go c.sendHeartbeats(done) // a target that could not be reached is used again after its next one
+	check := c.watchProcesses(t)
 	crowd(attacked, time.Now().Add(crowdTime))
 	for _, path := range []string{"/board/", "/ledger/"} {
 		eventually(t, afterCrowd, func() bool {
@@ -202,13 +198,30 @@
 			return resp.StatusCode == http.StatusOK
 		})
 	}
-	close(done)
-	for n, h := range c.hosts {
-		u := <-used[n]
-		t.Logf("host %d: %d MB, %d descriptors", n, u.memoryKB>>10, u.descriptors)
-		assert.Check(t, h.process.Signal(syscall.Signal(0)) == nil, "the process of host %d has ended", n)
-		assert.Check(t, u.memoryKB <= crowdMemoryMB<<10, "host %d: %d MB of memory", n, u.memoryKB>>10)
-		assert.Check(t, u.descriptors <= crowdDescriptors, "host %d: %d descriptors", n, u.descriptors)
+	check()
+}
+
+// watchProcesses watches the processes of all hosts, and sends heartbeats of their targets, as one that could not be
+// reached for a moment is used again after its next heartbeat. The function that it returns ends this and checks what the
+// processes have used.
+func (c *cluster) watchProcesses(t *testing.T) (check func()) {
+	t.Helper()
+	done := make(chan struct{})
+	var used []<-chan usage
+	for _, h := range c.hosts {
+		used = append(used, watchUsage(h.process.Pid, done))
+	}
+	go c.sendHeartbeats(done)
+	return func() {
+		t.Helper()
+		close(done)
+		for n, h := range c.hosts {
+			u := <-used[n]
+			t.Logf("host %d: %d MB, %d descriptors", n, u.memoryKB>>10, u.descriptors)
+			assert.Check(t, h.process.Signal(syscall.Signal(0)) == nil, "the process of host %d has ended", n)
+			assert.Check(t, u.memoryKB <= crowdMemoryMB<<10, "host %d: %d MB of memory", n, u.memoryKB>>10)
+			assert.Check(t, u.descriptors <= crowdDescriptors, "host %d: %d descriptors", n, u.descriptors)
+		}
 	}
 }
 
@@ -275,3 +288,79 @@
 		})
 	}
 }
+
+// Guards against clients that hold all connections for callers, so that an ordinary request gets none. They open them again
+// when they are closed.
+func TestOrdinaryRequestBesideHeldConnections(t *testing.T) {
+	program := buildProgram(t)
+	for _, a := range []abuse{
+		{name: "nothing"},
+		{name: "part of a head", first: "GET /board/ HTTP/1.1\r\nHost"},
+		{name: "idle after a request", first: "GET /board/ HTTP/1.1\r\nHost: a.example\r\nAttempt-Id: held\r\n\r\n"},
+		{name: "part of a body", first: requestHead + "Content-Length: 100\r\n\r\nb"},
+		{name: "part of the body of a refused request", first: strings.Replace(requestHead, "/board/", "/none/", 1) + "Content-Length: 100000\r\n\r\nb"},
+		{name: "part of an announcement", first: "POST /v1/instances/i-9/heartbeat HTTP/1.1\r\nHost: a.example\r\nContent-Length: 100\r\n\r\n{"},
+		{name: "unread response", first: "GET /board/ HTTP/1.1\r\nHost: a.example\r\nAttempt-Id: held\r\n\r\n"},
+	} {
+		t.Run(a.name, func(t *testing.T) {
+			c := crowdCluster(t, program)
+			if a.name == "unread response" {
+				c.hosts[0].target.setHandler(func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write(make([]byte, 16<<20)) })
+			}
+			h, check := c.hosts[0], c.watchProcesses(t)
+			var crowd sync.WaitGroup
+			stop := make(chan struct{})
+			for range crowdDescriptors {
+				crowd.Go(func() { a.hold(h.ip+":8304", stop) })
+			}
+			time.Sleep(crowdTime)
+			t.Cleanup(crowd.Wait)
+			t.Cleanup(func() { close(stop) })
+			eventually(t, afterCrowd, func() bool {
+				_, resp, _ := h.send("GET", "/ledger/", http.Header{"Connection": {"close"}}, nil)
+				return resp.StatusCode == http.StatusOK
+			})
+			check()
+		})
+	}
+}
+
+// hold sends what the abuse begins with, holds the connection without reading, and opens it again when it is closed, until
+// stop is closed.
+func (a abuse) hold(address string, stop <-chan struct{}) {
+	for {
+		select {
+		case <-stop:
+			return
+		case <-time.After(slowPause):
+		}
+		c, err := net.DialTimeout("tcp", address, time.Second)
+		if err != nil {
+			continue
+		}
+		_, _ = c.Write([]byte(a.first))
+		for open := true; open; {
+			select {
+			case <-stop:
+				open = false
+			case <-time.After(slowPause):
+				open = !closedByPeer(c)
+			}
+		}
+		_ = c.Close()
+	}
+}
+
+// closedByPeer reports whether the other end has closed a connection. It reads nothing from it.
+func closedByPeer(c net.Conn) bool {
+	raw, err := c.(*net.TCPConn).SyscallConn()
+	if err != nil {
+		return true
+	}
+	closed := false
+	err = raw.Control(func(fd uintptr) {
+		info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
+		closed = err != nil || info.State != 1 // established
+	})
+	return closed || err != nil
+}
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -73,6 +73,7 @@
 	probes     *metrics.Counter
 	recorder   *decisions.Recorder
 	gate       *closing.Gate
+	inlets     *inlets
 }
 
 // server serves the connections of a listener.
@@ -86,11 +87,11 @@
 
 func newSidecar(path settingsFile, s *liveSettings, t *lifetime.Tracker, c *admission.Controller, p *targetconn.Pool, e *localtarget.Executor,
 	h *ingress.Handler, f *fleet.Fleet, tr *targetReporter, set *metrics.Set, l *eventlog.Log, sink *logsink.Sink,
-	r *decisions.Recorder, g *closing.Gate,
+	r *decisions.Recorder, g *closing.Gate, in *inlets,
 ) *Sidecar {
 	return &Sidecar{
 		path: path, settings: s, tracker: t, controller: c, pool: p, executor: e, ingress: h, fleet: f, reporter: tr, set: set, log: l, sink: sink,
-		probes: set.NewCounter("mustardmast_probes_total"), recorder: r, gate: g,
+		probes: set.NewCounter("mustardmast_probes_total"), recorder: r, gate: g, inlets: in,
 	}
 }
 
@@ -104,17 +105,18 @@
 	debug.SetMemoryLimit(int64(heapFraction * float64(current.MemoryBytes())))
 	debug.SetGCPercent(gcPercent)
 	peerAddress := netip.AddrPortFrom(current.IP(), current.PeerPort())
-	callers := httpdrain.New(newHTTPServer(s.ingress))
+	in := s.inlets
+	callers := httpdrain.New(newHTTPServer(in.callers, s.ingress))
 	servers := []struct {
 		name    string
 		address netip.AddrPort
 		server  server
 	}{
-		{"callers", current.CallerAddress(), callers},
-		{"peers", peerAddress, hostlink.NewServer(s.executor, s.fleet)},
-		{"announcements", current.AnnouncementAddress(), newHTTPServer(s.announcements())},
-		{"readiness", current.ReadinessAddress(), newHTTPServer(http.HandlerFunc(s.readiness))},
-		{"metrics", netip.AddrPortFrom(current.IP(), current.MetricsPort()), newHTTPServer(http.HandlerFunc(s.metrics))},
+		{"callers", current.CallerAddress(), inletServer{callers, in.callers}},
+		{"peers", peerAddress, inletServer{hostlink.NewServer(s.executor, s.fleet), in.peers}},
+		{"announcements", current.AnnouncementAddress(), inletServer{newHTTPServer(in.announcements, s.announcements()), in.announcements}},
+		{"readiness", current.ReadinessAddress(), inletServer{newHTTPServer(in.readiness, http.HandlerFunc(s.readiness)), in.readiness}},
+		{"metrics", netip.AddrPortFrom(current.IP(), current.MetricsPort()), inletServer{newHTTPServer(in.metrics, http.HandlerFunc(s.metrics)), in.metrics}},
 	}
 	for _, srv := range servers {
 		l, err := net.Listen("tcp", srv.address.String())
@@ -156,10 +158,6 @@
 	}
 }
 
-func newHTTPServer(h http.Handler) *http.Server {
-	return &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes}
-}
-
 // awaitTarget requests the lifetime of the target from its health path until the target is known. Without it, a node
 // that is restarted beside a running target could not serve before the target's next heartbeat.
 func (s *Sidecar) awaitTarget(ctx context.Context) {
--- a/sidecar/wire_gen.go
+++ b/sidecar/wire_gen.go
@@ -44,6 +44,7 @@
 	rejectionsTracker := rejections.New()
 	gate := closing.New()
 	handler := newIngress(sidecarLiveSettings, fleet, executor, placer, levels, rejectionsTracker, gate, recorder, sidecarTargetReporter)
-	sidecar := newSidecar(f, sidecarLiveSettings, tracker, controller, pool, executor, handler, fleet, sidecarTargetReporter, set, log, sink, recorder, gate)
+	sidecarInlets := newInlets(settings, set)
+	sidecar := newSidecar(f, sidecarLiveSettings, tracker, controller, pool, executor, handler, fleet, sidecarTargetReporter, set, log, sink, recorder, gate, sidecarInlets)
 	return sidecar, nil
 }
