io/inlet, sidecar: heads of requests take no more memory together than a node has for them

Clients that sent heads of many short fields, held open or inside the limits, took all memory of a node's machine; its process would have been ended.

Cause: the head of a request is bounded by 64 KiB, but nothing bounds what all heads take together, and a decoded field takes hundreds of bytes where it has three. With 4,100 connections that is gigabytes on a machine of 184 MB.

The first 8 KiB of each head are not taken from it, so heads of usual size find room beside a crowd. A head that finds none ends its connection, before any of its request has run, which a client may retry.

--- a/io/inlet/conn.go
+++ b/io/inlet/conn.go
@@ -1,7 +1,9 @@
 package inlet
 
 import (
+	"bytes"
 	"net"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -9,20 +11,69 @@
 )
 
 const (
-	// ConnBytes is the memory in bytes that one connection takes: its goroutine, its buffers and a head of usual size.
+	// ConnBytes is the memory in bytes that one connection takes without a large head: its goroutine, its buffers and
+	// freeHeadBytes.
 	ConnBytes = 24 << 10
+	// freeHeadBytes is the memory of a head that is not taken from the quota. Most heads take less.
+	freeHeadBytes = 8 << 10
+	// A head is held as it came, as decoded fields, and as the fields that are forwarded. Each byte of it takes
+	// bytesPerByte, and each line bytesPerLine besides.
+	bytesPerByte = 3
+	bytesPerLine = 320
 	// writeTimeout is how long a client may read nothing of a response before its connection is closed.
 	writeTimeout = 15 * time.Second
 	// maxWrite is the number of bytes written with one timeout.
 	maxWrite = 16 << 10
 )
 
+var errNoRoom = errors.New("the memory for the heads of requests is in use")
+
 // conn is a connection that an Inlet has accepted.
 type conn struct {
 	net.Conn
 	inlet  *Inlet
 	id     uint64
-	closed atomic.Bool
+	inHead atomic.Bool // the next bytes belong to the head of a request, or precede it
+
+	mu     sync.Mutex
+	closed bool
+	size   int64 // memory that the head takes
+	taken  int64 // of it, from the quota
+}
+
+// Read implements net.Conn. It ends the connection if there is no memory for the head that is being read.
+func (c *conn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if n > 0 && c.inHead.Load() && !c.grow(int64(n)*bytesPerByte+int64(bytes.Count(p[:n], []byte{'\n'}))*bytesPerLine) {
+		c.inlet.refused.Add(1)
+		_ = c.Close() // it is of no use any more
+		return 0, &net.OpError{Op: "read", Net: "tcp", Source: c.LocalAddr(), Addr: c.RemoteAddr(), Err: errNoRoom}
+	}
+	return n, err
+}
+
+// grow adds to the size of the head. It returns false if the quota has no room for it.
+func (c *conn) grow(n int64) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.size += n
+	more := c.size - freeHeadBytes - c.taken
+	if more <= 0 {
+		return true
+	}
+	if c.closed || !c.inlet.heads.Acquire(more) {
+		return false
+	}
+	c.taken += more
+	return true
+}
+
+// releaseHead returns the memory of a head whose request has been served.
+func (c *conn) releaseHead() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.inlet.heads.Release(c.taken)
+	c.size, c.taken = 0, 0
 }
 
 // Write implements net.Conn. It fails if the client reads nothing for writeTimeout.
@@ -43,7 +94,12 @@
 
 // Close implements net.Conn.
 func (c *conn) Close() error {
-	if !c.closed.Swap(true) {
+	c.mu.Lock()
+	first := !c.closed
+	c.closed = true
+	c.mu.Unlock()
+	if first {
+		c.releaseHead()
 		c.inlet.remove(c)
 	}
 	return c.Conn.Close()
@@ -51,6 +107,7 @@
 
 // Keep makes the inlet not close the connection for another one while its client reads. It returns false if it has been closed.
 func (c *conn) Keep() bool {
+	c.inHead.Store(false)
 	return c.inlet.set.Serving(c.id)
 }
 
--- a/io/inlet/inlet.go
+++ b/io/inlet/inlet.go
@@ -2,7 +2,9 @@
 // send or leave unread.
 //
 // A server has a number of connections. Beyond it, a new one takes the place of the one that has waited longest for a
-// request, as core/connlimit decides. A connection whose client reads nothing for some time is closed too.
+// request, as core/connlimit decides. The heads of requests take memory from a quota that all servers share: a head of
+// many short fields takes much more than its bytes. A head that finds no room ends its connection, before any of its
+// request has run. A connection whose client reads nothing for some time is closed too.
 package inlet
 
 import (
@@ -14,11 +16,13 @@
 	"time"
 
 	"mustardmast/core/connlimit"
+	"mustardmast/core/quota"
 )
 
 // Inlet accepts the connections of one server. Its methods may be called concurrently.
 type Inlet struct {
-	set *connlimit.Set
+	set   *connlimit.Set
+	heads *quota.Quota
 
 	lastID  atomic.Uint64
 	refused atomic.Int64 // connections
@@ -27,8 +31,11 @@
 	conns map[uint64]*conn
 }
 
-// New returns an inlet for at most limit connections.
-func New(limit int) *Inlet { return &Inlet{set: connlimit.New(limit), conns: map[uint64]*conn{}} }
+// New returns an inlet for at most limit connections, whose heads take memory from a quota. It calls nothing before
+// Listener and Guard.
+func New(limit int, heads *quota.Quota) *Inlet {
+	return &Inlet{set: connlimit.New(limit), heads: heads, conns: map[uint64]*conn{}}
+}
 
 // Refused returns the number of connections that were closed because of a limit.
 func (i *Inlet) Refused() int64 { return i.refused.Load() }
@@ -58,6 +65,7 @@
 // admit adds a connection. It returns nil if there is no room for it.
 func (i *Inlet) admit(n net.Conn) *conn {
 	c := &conn{Conn: n, inlet: i, id: i.lastID.Add(1)}
+	c.inHead.Store(true)
 	i.mu.Lock()
 	i.conns[c.id] = c
 	i.mu.Unlock()
@@ -98,10 +106,21 @@
 			next.ServeHTTP(w, r)
 			return
 		}
+		c.inHead.Store(false)
 		defer func() { i.set.Waiting(time.Now(), c.id) }()
+		defer c.releaseHead()
 		next.ServeHTTP(w, r)
 	})
 	s.ConnContext = func(ctx context.Context, n net.Conn) context.Context { return context.WithValue(ctx, connKey{}, n) }
+	hook := s.ConnState
+	s.ConnState = func(n net.Conn, state http.ConnState) {
+		if c, ok := n.(*conn); ok && state == http.StateIdle {
+			c.inHead.Store(true)
+		}
+		if hook != nil {
+			hook(n, state)
+		}
+	}
 }
 
 // Serving records that enough of a request has been read, and that its connection is not to be closed for another one
--- a/io/inlet/inlet_test.go
+++ b/io/inlet/inlet_test.go
@@ -5,11 +5,13 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
 
+	"mustardmast/core/quota"
 	"mustardmast/io/inlet"
 )
 
@@ -47,7 +49,7 @@
 // Guards against a connection that finds no room beside others that only wait, and against the end of one that has waited
 // for less time than another.
 func TestNewConnectionTakesThePlaceOfTheLongestWait(t *testing.T) {
-	in := inlet.New(2)
+	in := inlet.New(2, quota.New(0))
 	address := serve(t, in, func(http.ResponseWriter, *http.Request) {})
 	used, fresh := dial(t, address), dial(t, address)
 	assert.Equal(t, ask(used), http.StatusOK)
@@ -61,7 +63,7 @@
 
 // Guards against the end of a connection whose request is being served.
 func TestServedRequestIsNotCutOff(t *testing.T) {
-	in := inlet.New(1)
+	in := inlet.New(1, quota.New(0))
 	began, done := make(chan bool), make(chan struct{})
 	address := serve(t, in, func(_ http.ResponseWriter, r *http.Request) {
 		began <- inlet.Serving(r.Context())
@@ -75,3 +77,34 @@
 	close(done)
 	assert.Equal(t, <-status, http.StatusOK)
 }
+
+// Guards against heads that together take more memory than they may, against one that keeps its memory when it has ended,
+// and against requests with heads of usual size that find no room beside them.
+func TestHeadsShareAQuota(t *testing.T) {
+	heads := quota.New(1 << 20)
+	address := serve(t, inlet.New(100, heads), func(http.ResponseWriter, *http.Request) {})
+	var held []net.Conn
+	for range 8 { // each takes about 345 KiB
+		c := dial(t, address)
+		_, err := io.WriteString(c, "GET / HTTP/1.1\r\n"+strings.Repeat("a:\n", 1<<10))
+		assert.NilError(t, err)
+		held = append(held, c)
+	}
+	ordinary := dial(t, address)
+	assert.Equal(t, ask(ordinary), http.StatusOK)
+	assert.Equal(t, ask(ordinary), http.StatusOK)
+	assert.Assert(t, heads.Used() > 0 && heads.Used() <= 1<<20, "%d bytes", heads.Used())
+	for _, c := range held {
+		_ = c.Close()
+	}
+	for end := time.Now().Add(10 * time.Second); heads.Used() > 0 && time.Now().Before(end); {
+		time.Sleep(time.Millisecond)
+	}
+	assert.Equal(t, heads.Used(), int64(0))
+	large := dial(t, address)
+	_, err := io.WriteString(large, "GET / HTTP/1.1\r\nHost: a.example\r\n"+strings.Repeat("a:b\r\n", 1<<10)+"\r\n")
+	assert.NilError(t, err)
+	resp, err := http.ReadResponse(bufio.NewReader(large), nil)
+	assert.NilError(t, err)
+	assert.Equal(t, resp.StatusCode, http.StatusOK)
+}
--- a/sidecar/inlets.go
+++ b/sidecar/inlets.go
@@ -26,15 +26,15 @@
 // inlets are the inlets of the ports of a node.
 type inlets struct{ callers, peers, announcements, readiness, metrics *inlet.Inlet }
 
-func newInlets(s platform.Settings, set *metrics.Set) *inlets {
+func newInlets(s platform.Settings, m *memory, set *metrics.Set) *inlets {
 	connections := func(share float64) int {
 		byMemory := connMemoryFraction * float64(s.MemoryBytes()) / inlet.ConnBytes / allShares
 		return max(1, int(share*min(float64(s.MaxDescriptors()), byMemory)))
 	}
 	in := &inlets{
-		callers: inlet.New(connections(callerShare)), peers: inlet.New(connections(peerShare)),
-		announcements: inlet.New(connections(sideShare)), readiness: inlet.New(connections(sideShare)),
-		metrics: inlet.New(connections(sideShare)),
+		callers: inlet.New(connections(callerShare), m.heads), peers: inlet.New(connections(peerShare), m.heads),
+		announcements: inlet.New(connections(sideShare), m.heads), readiness: inlet.New(connections(sideShare), m.heads),
+		metrics: inlet.New(connections(sideShare), m.heads),
 	}
 	set.NewGauge("mustardmast_connections_refused_total", func() float64 {
 		return float64(in.callers.Refused() + in.peers.Refused() + in.announcements.Refused() + in.readiness.Refused() + in.metrics.Refused())
--- a/sidecar/wire.go
+++ b/sidecar/wire.go
@@ -19,7 +19,7 @@
 func build(f settingsFile) (*Sidecar, error) {
 	wire.Build(
 		newSettings, newLiveSettings, metrics.NewSet, newSink, newLog, tick.New, newTracker, newController, newPool, newPeerClient, newRoster, newQuarantine, newStore,
-		newFleet, newTargetReporter, newRecorder, newExecutor, pressure.New, newRetryBudget, rejections.New, closing.New, newPlacer, newIngress, newInlets, newSidecar,
+		newFleet, newTargetReporter, newRecorder, newExecutor, pressure.New, newRetryBudget, rejections.New, closing.New, newPlacer, newIngress, newMemory, newInlets, newSidecar,
 		wire.Bind(new(mustardmast.Timers), new(*tick.Service)), wire.Bind(new(fleet.Store), new(*platform.Store)),
 	)
 	return nil, nil
--- a/sidecar/wire_gen.go
+++ b/sidecar/wire_gen.go
@@ -44,7 +44,8 @@
 	rejectionsTracker := rejections.New()
 	gate := closing.New()
 	handler := newIngress(sidecarLiveSettings, fleet, executor, placer, levels, rejectionsTracker, gate, recorder, sidecarTargetReporter)
-	sidecarInlets := newInlets(settings, set)
+	sidecarMemory := newMemory(settings, set)
+	sidecarInlets := newInlets(settings, sidecarMemory, set)
 	sidecar := newSidecar(f, sidecarLiveSettings, tracker, controller, pool, executor, handler, fleet, sidecarTargetReporter, set, log, sink, recorder, gate, sidecarInlets)
 	return sidecar, nil
 }
