io/ingress, io/placement, sidecar: buffered bodies and replies stay within the machine's memory

Bodies and replies of usual size, at clients that send or read slowly, took more memory than a small machine has.

Cause: 24 MiB for bodies and 24 MiB for replies, whatever the machine; the first 16 KiB of each body were not counted, nor what a buffer takes beyond its bytes while it grows; a body of unknown length took 512 KiB of the count at once.

A body is read into parts that are taken from it as they come, the first one included; if that finds no room, the request gets 503, before it has run.

--- a/io/ingress/ingress.go
+++ b/io/ingress/ingress.go
@@ -6,7 +6,6 @@
 package ingress
 
 import (
-	"bytes"
 	"context"
 	"io"
 	"math/rand/v2"
@@ -17,14 +16,13 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
 
 	"mustardmast"
 	"mustardmast/core/closing"
 	"mustardmast/core/fault"
 	"mustardmast/core/pressure"
-	"mustardmast/core/quarantine"
+	"mustardmast/core/quota"
 	"mustardmast/core/rejections"
 	"mustardmast/core/routing"
 	"mustardmast/io/inlet"
@@ -34,13 +32,6 @@
 )
 
 const (
-	// maxBufferedBody is the size in bytes up to which a request body is buffered, so that the request can be retried.
-	maxBufferedBody = 512 << 10
-	// maxBufferedTotal is the maximum total size in bytes of buffered bodies. Beyond it, bodies are streamed.
-	maxBufferedTotal = 24 << 20
-	// contentPrefix is the size in bytes of the part of a body by which its content is recognized. It is read before the
-	// request is placed, also if the body is streamed.
-	contentPrefix = 16 << 10
 	// maxWaitFraction is the fraction of the time left to the objective of its route that a request may wait for a
 	// slot, and maxWaitFloor the minimum.
 	maxWaitFraction = 0.2
@@ -84,15 +75,15 @@
 	Observer   Observer
 	Draining   func() bool   // if true, connections are closed after their response
 	Closing    *closing.Gate // decides which requests are accepted during a planned stop
+	Buffers    *quota.Quota  // memory for bodies that are buffered; others are streamed
 }
 
 // Handler serves requests. It implements http.Handler.
 type Handler struct {
-	options  Options
-	buffered atomic.Int64
-	active   atomic.Int64
-	ctx      context.Context
-	abandon  context.CancelFunc
+	options Options
+	active  atomic.Int64
+	ctx     context.Context
+	abandon context.CancelFunc
 }
 
 // New returns a handler.
@@ -119,7 +110,7 @@
 	key      uint64           // identifies the request across retries of its caller
 	run      *localtarget.Run // run that issued the request; nil for a request of a client
 	body     func() io.Reader // returns the body from its start; nil if the body is streamed
-	release  func()           // releases the buffer space reserved for the body
+	buffered int64            // memory that the body takes from the quota, in bytes
 }
 
 // ServeHTTP implements http.Handler.
@@ -135,7 +126,7 @@
 	if !ok {
 		return
 	}
-	defer q.release()
+	defer h.release(q)
 	if !inlet.Serving(r.Context()) {
 		panic(http.ErrAbortHandler) // the connection has been closed, and nothing of the request has run
 	}
@@ -197,7 +188,12 @@
 	}
 	q := h.request(r, route, t, now)
 	if err := h.readBody(w, r, q, t.Limits().BodyBytes); err != nil {
-		q.release()
+		h.release(q)
+		if errors.Is(err, errNoMemory) {
+			status := h.writeError(w, q, fault.Wrap(err, fault.Shed, "reading the body"))
+			h.options.Observer.RequestCompleted(q.call, status, err, time.Since(now))
+			return nil, false
+		}
 		var large *http.MaxBytesError
 		if errors.As(err, &large) {
 			return reject(http.StatusRequestEntityTooLarge, "body exceeds the limit", t.Version())
@@ -215,7 +211,7 @@
 	if ms, err := strconv.ParseFloat(r.Header.Get(h.options.Names.TimeLeft), 64); err == nil && ms >= 0 {
 		timeLeft = time.Duration(ms * float64(time.Millisecond))
 	}
-	q := &request{route: route, timeLeft: timeLeft, arrived: now, release: func() {}}
+	q := &request{route: route, timeLeft: timeLeft, arrived: now}
 	c := &mustardmast.TargetCall{
 		ID: r.Header.Get(h.options.Names.RequestID), Service: route.NextService(), Route: route.Key(), Version: t.Version(), EntryHost: h.options.Host,
 		Method: r.Method, URI: r.RequestURI, Host: r.Host, Header: h.forwardedHeader(r.Header), Length: r.ContentLength,
@@ -252,63 +248,6 @@
 	return out
 }
 
-// readBody buffers the body if it is small enough. Otherwise it reads the first part and leaves the rest to be streamed.
-func (h *Handler) readBody(w http.ResponseWriter, r *http.Request, q *request, limit int64) error {
-	if r.Body == nil || r.Body == http.NoBody || r.ContentLength == 0 {
-		q.call.Length, q.call.Content = 0, contentOf(q.call, nil)
-		q.body = func() io.Reader { return nil }
-		return nil
-	}
-	if limit > 0 && r.ContentLength < 0 {
-		r.Body = http.MaxBytesReader(w, r.Body, limit)
-	}
-	size := int64(maxBufferedBody)
-	if !h.reserve(r.ContentLength, q) {
-		size = contentPrefix
-	}
-	_ = http.NewResponseController(w).SetReadDeadline(q.call.Deadline) // if this fails, the time-outs of the server apply
-	raw, err := io.ReadAll(io.LimitReader(r.Body, size))
-	_ = http.NewResponseController(w).SetReadDeadline(time.Time{})
-	if err != nil {
-		return err
-	}
-	q.call.Content = contentOf(q.call, raw)
-	if size < maxBufferedBody || len(raw) == maxBufferedBody && r.ContentLength < 0 {
-		q.call.Body = io.MultiReader(bytes.NewReader(raw), r.Body)
-		return nil
-	}
-	q.call.Length = int64(len(raw))
-	q.body = func() io.Reader { return bytes.NewReader(raw) }
-	return nil
-}
-
-// reserve reserves space to buffer a body of the given length, -1 if unknown. It returns false if the body must be
-// streamed.
-func (h *Handler) reserve(length int64, q *request) bool {
-	if length < 0 {
-		length = maxBufferedBody
-	}
-	if length > maxBufferedBody {
-		return false
-	}
-	if h.buffered.Add(length) > maxBufferedTotal {
-		h.buffered.Add(-length)
-		return false
-	}
-	q.release = func() { h.buffered.Add(-length) }
-	return true
-}
-
-// contentOf returns the content of a call whose body begins with prefix. It does not depend on the framing of the body,
-// which may differ when a caller sends a request again.
-func contentOf(c *mustardmast.TargetCall, prefix []byte) uint64 {
-	const anyLength = -1
-	hasher := quarantine.NewHasher(anyLength)
-	_, _ = hasher.Write(prefix[:min(len(prefix), contentPrefix)]) // it never fails
-	digest := hasher.Sum() ^ xxhash.Sum64String(c.URI)
-	return uint64(quarantine.FingerprintOf(c.Service, c.Method, c.Host, digest))
-}
-
 // place sheds a request or runs it on a target.
 func (h *Handler) place(ctx context.Context, q *request) (*mustardmast.TargetReply, error) {
 	now := time.Now()
--- a/io/placement/placement.go
+++ b/io/placement/placement.go
@@ -12,6 +12,7 @@
 
 	"mustardmast"
 	"mustardmast/core/pressure"
+	"mustardmast/core/quota"
 	"mustardmast/core/retrybudget"
 	"mustardmast/core/roster"
 	"mustardmast/io/hostlink"
@@ -74,9 +75,9 @@
 	replies  replyBuffers
 }
 
-// New returns a placer. Local executes calls on the target of this host.
-func New(r *roster.Roster, local mustardmast.Executor, link *hostlink.Client, b *retrybudget.Budget, l *pressure.Levels, o Observer) *Placer {
-	return &Placer{roster: r, local: local, link: link, budget: b, levels: l, observer: o}
+// New returns a placer. Local executes calls on the target of this host. Buffered replies take memory from a quota.
+func New(r *roster.Roster, local mustardmast.Executor, link *hostlink.Client, b *retrybudget.Budget, l *pressure.Levels, o Observer, buffers *quota.Quota) *Placer {
+	return &Placer{roster: r, local: local, link: link, budget: b, levels: l, observer: o, replies: replyBuffers{quota: buffers}}
 }
 
 // UnbufferedReplies returns the number of replies that were streamed because the others took all buffer space.
--- a/io/placement/placement_test.go
+++ b/io/placement/placement_test.go
@@ -14,6 +14,7 @@
 	"mustardmast"
 	"mustardmast/core/fault"
 	"mustardmast/core/pressure"
+	"mustardmast/core/quota"
 	"mustardmast/core/retrybudget"
 	"mustardmast/core/roster"
 	"mustardmast/io/hostlink"
@@ -32,7 +33,7 @@
 	link := hostlink.NewClient(net.IPv4(127, 0, 0, 1), func(string) {})
 	defer link.Close()
 	self := roster.Record{Host: "h1", Service: "board"}
-	p := placement.New(roster.New(self, 1), nil, link, retrybudget.New(retrybudget.Spec{Ratio: 0.2, Slack: 10, Window: time.Second}), pressure.New(), observer{})
+	p := placement.New(roster.New(self, 1), nil, link, retrybudget.New(retrybudget.Spec{Ratio: 0.2, Slack: 10, Window: time.Second}), pressure.New(), observer{}, quota.New(24<<20))
 	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Millisecond)
 	defer cancel()
 	c := &mustardmast.TargetCall{ID: "a.b", Service: "ledger", SubCall: true, Deadline: time.Now().Add(5 * time.Second)}
@@ -70,7 +71,7 @@
 	hosts := roster.New(roster.Record{Host: "h1", Service: "board", Ready: true}, 1)
 	hosts.Merge(roster.Record{Host: "h2", Address: l.Addr().String(), Service: "board", Ready: true}, false)
 	own := &full{}
-	p := placement.New(hosts, own, link, retrybudget.New(retrybudget.Spec{Ratio: 0.2, Slack: 10, Window: time.Second}), pressure.New(), observer{})
+	p := placement.New(hosts, own, link, retrybudget.New(retrybudget.Spec{Ratio: 0.2, Slack: 10, Window: time.Second}), pressure.New(), observer{}, quota.New(24<<20))
 	c := &mustardmast.TargetCall{ID: "a", Service: "board", Deadline: time.Now().Add(5 * time.Second), MaxWait: maxWait}
 	began := time.Now()
 	_, err = p.Place(context.Background(), c, func() io.Reader { return nil }, 2, nil)
@@ -113,7 +114,7 @@
 	}
 	link := hostlink.NewClient(net.IPv4(127, 0, 0, 1), func(string) {})
 	defer link.Close()
-	p := placement.New(hosts, nil, link, retrybudget.New(retrybudget.Spec{Ratio: 0.2, Slack: 100, Window: 10 * time.Second}), pressure.New(), observer{})
+	p := placement.New(hosts, nil, link, retrybudget.New(retrybudget.Spec{Ratio: 0.2, Slack: 100, Window: 10 * time.Second}), pressure.New(), observer{}, quota.New(24<<20))
 	for _, repeatable := range []bool{true, false} {
 		before := healthy.runs.Load()
 		for name, duration := range map[string]time.Duration{"h1": 30 * time.Millisecond, "h2": 60 * time.Millisecond} { // the vanished one is preferred
@@ -163,7 +164,7 @@
 	}
 	link := hostlink.NewClient(net.IPv4(127, 0, 0, 1), func(string) {})
 	defer link.Close()
-	p := placement.New(hosts, &onlyOn{}, link, retrybudget.New(retrybudget.Spec{Ratio: 0.2, Slack: 10, Window: time.Second}), pressure.New(), observer{})
+	p := placement.New(hosts, &onlyOn{}, link, retrybudget.New(retrybudget.Spec{Ratio: 0.2, Slack: 10, Window: time.Second}), pressure.New(), observer{}, quota.New(24<<20))
 	for range 20 {
 		c := &mustardmast.TargetCall{ID: "a", Service: "board", Deadline: time.Now().Add(time.Second), Begun: time.Now()}
 		reply, err := p.Place(context.Background(), c, func() io.Reader { return nil }, 1, nil)
--- a/io/placement/reply.go
+++ b/io/placement/reply.go
@@ -9,6 +9,7 @@
 
 	"mustardmast"
 	"mustardmast/core/fault"
+	"mustardmast/core/quota"
 	"mustardmast/io/message"
 )
 
@@ -16,27 +17,17 @@
 	// maxBufferedReply is the size in bytes up to which a reply is read completely before any of it is returned, so
 	// that a truncated reply can be retried.
 	maxBufferedReply = 256 << 10
-	// maxBufferedReplies is the maximum total size in bytes of buffered replies. Beyond it, replies are streamed.
-	maxBufferedReplies = 24 << 20
 	// A reply of unknown length is read in parts of minReplyPart bytes, and then of twice the size up to maxReplyPart.
 	minReplyPart = 1 << 10
 	maxReplyPart = 32 << 10
 )
 
-// replyBuffers buffers replies. All of them share maxBufferedReplies bytes.
+// replyBuffers buffers replies as long as a quota has room for them. Others are streamed.
 type replyBuffers struct {
-	reserved   atomic.Int64 // bytes
+	quota      *quota.Quota
 	unbuffered atomic.Int64 // replies that were streamed because no space was left
 }
 
-func (b *replyBuffers) reserve(n int64) bool {
-	if b.reserved.Add(n) <= maxBufferedReplies {
-		return true
-	}
-	b.reserved.Add(-n)
-	return false
-}
-
 // read reads a reply completely, unless it is too large or no buffer space is left. The caller must close the body of the
 // returned reply.
 func (b *replyBuffers) read(ctx context.Context, r *mustardmast.TargetReply) (*mustardmast.TargetReply, error) {
@@ -51,7 +42,7 @@
 	var ended bool
 	var err error
 	for err == nil && !ended && body.length < maxBufferedReply {
-		if !b.reserve(size) {
+		if !b.quota.Acquire(size) {
 			b.unbuffered.Add(1)
 			break
 		}
@@ -130,7 +121,7 @@
 
 // Close implements io.Closer. It releases the buffer space.
 func (b *bufferedBody) Close() error {
-	b.once.Do(func() { b.buffers.reserved.Add(-b.reserved) })
+	b.once.Do(func() { b.buffers.quota.Release(b.reserved) })
 	return b.source.Close()
 }
 
--- a/io/placement/reply_test.go
+++ b/io/placement/reply_test.go
@@ -16,6 +16,7 @@
 	"mustardmast"
 	"mustardmast/core/fault"
 	"mustardmast/core/pressure"
+	"mustardmast/core/quota"
 	"mustardmast/core/retrybudget"
 	"mustardmast/core/roster"
 	"mustardmast/io/hostlink"
@@ -63,7 +64,7 @@
 	link := hostlink.NewClient(net.IPv4(127, 0, 0, 1), func(string) {})
 	t.Cleanup(link.Close)
 	hosts := roster.New(roster.Record{Host: "h1", Service: "board", Ready: true}, 1)
-	return placement.New(hosts, local, link, retrybudget.New(retrybudget.Spec{Ratio: 1, Slack: 1000, Window: time.Second}), pressure.New(), observer{}), hosts
+	return placement.New(hosts, local, link, retrybudget.New(retrybudget.Spec{Ratio: 1, Slack: 1000, Window: time.Second}), pressure.New(), observer{}, quota.New(24<<20)), hosts
 }
 
 func place(p *placement.Placer) (*mustardmast.TargetReply, error) {
--- a/sidecar/cluster_test.go
+++ b/sidecar/cluster_test.go
@@ -34,9 +34,10 @@
 
 	written atomic.Pointer[json.RawMessage] // the latest configuration, as the operator wrote it
 
-	limits  string // of the machines, as in the settings
-	program string // of the node processes; empty for nodes within the test process
-	logs    string // directory for the output of the processes
+	limits   string // of the machines, as in the settings
+	memoryMB int    // of the machines; 0 if it does not matter
+	program  string // of the node processes; empty for nodes within the test process
+	logs     string // directory for the output of the processes
 }
 
 // host is a node and its target.
--- a/sidecar/crowd_test.go
+++ b/sidecar/crowd_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"bytes"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"os"
@@ -172,10 +173,16 @@
 // crowdCluster starts two node processes of small machines. Requests of /board/ run on the first host, and those of
 // /ledger/ on the second one.
 func crowdCluster(t *testing.T, program string) *cluster {
+	t.Helper()
+	return crowdClusterOf(t, program, crowdMemoryMB)
+}
+
+// crowdClusterOf is like crowdCluster with machines of another size.
+func crowdClusterOf(t *testing.T, program string, memoryMB int) *cluster {
 	t.Helper()
 	c := newCluster(t)
-	c.program, c.logs = program, t.TempDir()
-	c.limits = fmt.Sprintf(`{"MemoryMb":%d,"MaxFds":%d}`, crowdMemoryMB, crowdDescriptors)
+	c.program, c.logs, c.memoryMB = program, t.TempDir(), memoryMB
+	c.limits = fmt.Sprintf(`{"MemoryMb":%d,"MaxFds":%d}`, memoryMB, crowdDescriptors)
 	t.Cleanup(func() {
 		if t.Failed() {
 			keepLogs(t, c.logs, uint64(os.Getpid()))
@@ -219,7 +226,7 @@
 			u := <-used[n]
 			t.Logf("host %d: %d MB, %d descriptors", n, u.memoryKB>>10, u.descriptors)
 			assert.Check(t, h.process.Signal(syscall.Signal(0)) == nil, "the process of host %d has ended", n)
-			assert.Check(t, u.memoryKB <= crowdMemoryMB<<10, "host %d: %d MB of memory", n, u.memoryKB>>10)
+			assert.Check(t, u.memoryKB <= c.memoryMB<<10, "host %d: %d MB of memory", n, u.memoryKB>>10)
 			assert.Check(t, u.descriptors <= crowdDescriptors, "host %d: %d descriptors", n, u.descriptors)
 		}
 	}
@@ -269,6 +276,7 @@
 	heads := requestHead + fields(0) + fields(1) + fields(2) + fields(3) + fields(4) + fields(5) + fields(6)
 	for name, text := range map[string]string{
 		"heads":          heads + "Content-Length: 0\r\n\r\n",
+		"heads, remote":  strings.Replace(heads, "/board/", "/ledger/", 1) + "Content-Length: 0\r\n\r\n",
 		"bodies":         requestHead + "Content-Length: 1048576\r\n\r\n" + strings.Repeat("b", 1<<20),
 		"bodies, remote": strings.Replace(requestHead, "/board/", "/ledger/", 1) + "Content-Length: 1048576\r\n\r\n" + strings.Repeat("b", 1<<20),
 		"short bodies":   requestHead + "Content-Length: 262144\r\n\r\n" + strings.Repeat("b", 1<<18),
@@ -364,3 +372,36 @@
 	})
 	return closed || err != nil
 }
+
+// Guards against bodies and responses of usual size that together take more memory than the machine has, at clients that
+// read nothing.
+func TestCrowdOfUnreadResponses(t *testing.T) {
+	const (
+		size     = 250 << 10 // bytes of a body and of a response; both are buffered
+		memoryMB = 64
+	)
+	program := buildProgram(t)
+	for name, framing := range map[string]string{
+		"length": fmt.Sprintf("Content-Length: %d\r\n\r\n%s", size, strings.Repeat("b", size)),
+		"chunks": fmt.Sprintf("Transfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", size, strings.Repeat("b", size)),
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := crowdClusterOf(t, program, memoryMB)
+			for _, h := range c.hosts {
+				h.target.setHandler(func(w http.ResponseWriter, r *http.Request) {
+					_, _ = io.Copy(io.Discard, r.Body)
+					_, _ = w.Write(make([]byte, size))
+				})
+			}
+			c.checkCrowd(t, func(h *host, end time.Time) {
+				stop := make(chan struct{})
+				time.AfterFunc(time.Until(end), func() { close(stop) })
+				var wg sync.WaitGroup
+				for range 4 * crowdPerPort {
+					wg.Go(func() { abuse{first: requestHead + framing}.hold(h.ip+":8304", stop) })
+				}
+				wg.Wait()
+			})
+		})
+	}
+}
--- a/sidecar/providers.go
+++ b/sidecar/providers.go
@@ -126,17 +126,17 @@
 	return retrybudget.New(retrybudget.Spec{Ratio: ratio, Slack: slack, Window: window})
 }
 
-func newPlacer(r *roster.Roster, e *localtarget.Executor, link *hostlink.Client, b *retrybudget.Budget, l *pressure.Levels, o *decisions.Recorder, set *metrics.Set) *placement.Placer {
-	p := placement.New(r, e, link, b, l, o)
+func newPlacer(r *roster.Roster, e *localtarget.Executor, link *hostlink.Client, b *retrybudget.Budget, l *pressure.Levels, o *decisions.Recorder, m *memory, set *metrics.Set) *placement.Placer {
+	p := placement.New(r, e, link, b, l, o, m.payloads)
 	set.NewGauge("mustardmast_replies_unbuffered_total", func() float64 { return float64(p.UnbufferedReplies()) })
 	return p
 }
 
 func newIngress(s *liveSettings, f *fleet.Fleet, e *localtarget.Executor, p *placement.Placer, l *pressure.Levels,
-	t *rejections.Tracker, g *closing.Gate, o *decisions.Recorder, reporter *targetReporter,
+	t *rejections.Tracker, g *closing.Gate, o *decisions.Recorder, reporter *targetReporter, m *memory,
 ) *ingress.Handler {
 	return ingress.New(ingress.Options{
 		Names: platform.Headers(), Host: s.Load().Host(), Service: func() string { return s.Load().Service() },
-		Table: f.Table, Placer: p, Levels: l, Rejections: t, Executor: e, Observer: o, Draining: reporter.draining.Load, Closing: g,
+		Table: f.Table, Placer: p, Levels: l, Rejections: t, Executor: e, Observer: o, Draining: reporter.draining.Load, Closing: g, Buffers: m.payloads,
 	})
 }
