io/ingress: streamed bodies stay within the machine's memory

Bodies over 512 KiB, and smaller ones beside a crowd, took more memory than a small machine has on their way to a slow target of another host.

Cause: of each streamed body up to 128 KiB, the window of a stream between nodes, is waiting to be written to the one connection between two nodes. That is a bound for each stream; a node of 184 MB may have 1,800 requests.

Change: a streamed body takes the window and its first part, 144 KiB, from the quota of bodies and replies. If there is no room the request gets 503, before it has run.

--- a/io/hostlink/conn.go
+++ b/io/hostlink/conn.go
@@ -307,7 +307,7 @@
 		if size <= 0 {
 			return errProtocol
 		}
-		s.window.add(int(min(n, windowSize)))
+		s.window.add(int(min(n, WindowSize)))
 	case kindReceived:
 		c.keep(s)
 	case kindAbort:
--- a/io/hostlink/frame.go
+++ b/io/hostlink/frame.go
@@ -31,11 +31,11 @@
 	maxHeadSize = maxPayload - chunkSize - binary.MaxVarintLen32
 	// chunkSize is the maximum number of body bytes in a frame, also in the frame that carries the head.
 	chunkSize = 16 << 10
-	// windowSize is the maximum number of body bytes in flight that the receiver has not read yet. It bounds the memory
+	// WindowSize is the maximum number of body bytes in flight that the receiver has not read yet. It bounds the memory
 	// used for a slow reader. With a round trip of 1 ms, a call of 100 ms does not wait for credit below 100 MB/s.
-	windowSize = 128 << 10
+	WindowSize = 128 << 10
 	// creditThreshold is the number of bytes read after which the receiver grants the sender more.
-	creditThreshold = windowSize / 2
+	creditThreshold = WindowSize / 2
 )
 
 func appendFrame(b []byte, kind byte, stream uint32, parts ...[]byte) []byte {
--- a/io/hostlink/stream.go
+++ b/io/hostlink/stream.go
@@ -223,7 +223,7 @@
 }
 
 func newSendWindow() *sendWindow {
-	w := &sendWindow{available: windowSize}
+	w := &sendWindow{available: WindowSize}
 	w.init()
 	return w
 }
--- a/io/ingress/body.go
+++ b/io/ingress/body.go
@@ -11,6 +11,7 @@
 
 	"mustardmast"
 	"mustardmast/core/quarantine"
+	"mustardmast/io/hostlink"
 )
 
 const (
@@ -21,6 +22,8 @@
 	contentPrefix = 16 << 10
 	// bodyPart is the size in bytes of the parts in which the rest of a body of unknown length is buffered.
 	bodyPart = 64 << 10
+	// streamBytes is the memory in bytes that a body takes while it is streamed: what may be on its way to another node.
+	streamBytes = hostlink.WindowSize
 )
 
 // errNoMemory is the error of a request whose body finds no memory. Nothing of the request has run.
@@ -60,33 +63,33 @@
 // memory for it.
 func (h *Handler) readParts(r *http.Request, q *request) (parts [][]byte, complete bool, err error) {
 	length := r.ContentLength
-	if length > 0 && length <= maxBufferedBody && h.reserve(q, length) {
+	if length > maxBufferedBody || length > 0 && !h.reserve(q, length) {
+		if !h.reserve(q, min(length, contentPrefix+streamBytes)) {
+			return nil, false, errNoMemory
+		}
+		p, _, err := readPart(r.Body, min(length, contentPrefix))
+		return [][]byte{p}, int64(len(p)) == length, err
+	}
+	if length > 0 {
 		p, _, err := readPart(r.Body, length)
 		if err == nil && int64(len(p)) < length {
 			err = io.ErrUnexpectedEOF
 		}
 		return [][]byte{p}, true, err
 	}
-	first := int64(contentPrefix)
-	if length > 0 {
-		first = min(first, length)
-	}
-	for size, total := first, int64(0); total < maxBufferedBody; size = bodyPart {
-		if !h.reserve(q, size) {
-			if total == 0 {
-				return nil, false, errNoMemory
-			}
-			return parts, false, nil
-		}
+	for size, total := int64(contentPrefix), int64(0); total < maxBufferedBody && h.reserve(q, size); size = bodyPart {
 		p, ended, err := readPart(r.Body, size)
 		if err != nil {
 			return nil, false, err
 		}
 		parts, total = append(parts, p), total+int64(len(p))
-		if ended || length >= 0 {
-			return parts, ended || total == length, nil
+		if ended {
+			return parts, true, nil
 		}
 	}
+	if len(parts) == 0 || !h.reserve(q, streamBytes) {
+		return nil, false, errNoMemory
+	}
 	return parts, false, nil
 }
 
--- a/sidecar/crowd_test.go
+++ b/sidecar/crowd_test.go
@@ -405,3 +405,32 @@
 		})
 	}
 }
+
+// Guards against bodies too large to be buffered that together take more memory than the machine has, on their way to the
+// target of another host that does not read them.
+func TestCrowdOfStreamedBodies(t *testing.T) {
+	const memoryMB = 64
+	program := buildProgram(t)
+	for name, framing := range map[string]string{
+		"length": "Content-Length: 1048576\r\n\r\n" + strings.Repeat("b", 1<<20),
+		"chunks": "Transfer-Encoding: chunked\r\n\r\n" + strings.Repeat("2000\r\n"+strings.Repeat("b", 8192)+"\r\n", 128),
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := crowdClusterOf(t, program, memoryMB)
+			for _, h := range c.hosts {
+				h.target.setHandler(func(http.ResponseWriter, *http.Request) { time.Sleep(crowdTime / 4) })
+			}
+			c.checkCrowd(t, func(h *host, end time.Time) {
+				stop := make(chan struct{})
+				time.AfterFunc(time.Until(end), func() { close(stop) })
+				var wg sync.WaitGroup
+				for range 4 * crowdPerPort {
+					wg.Go(func() {
+						abuse{first: strings.Replace(requestHead, "/board/", "/ledger/", 1) + framing}.hold(h.ip+":8304", stop)
+					})
+				}
+				wg.Wait()
+			})
+		})
+	}
+}
