io/ingress: a body that was buffered in parts is sent in one piece again

A body of unknown length over 16 KiB was given to a target in parts since bodies are buffered in parts, and its call went to another node without the first bytes in its frame, which cost a frame more. The parts are joined when the body has been read.

--- a/io/ingress/body.go
+++ b/io/ingress/body.go
@@ -46,16 +46,17 @@
 	if err != nil {
 		return err
 	}
-	q.call.Content = contentOf(q.call, parts[0])
+	raw := parts[0]
+	if len(parts) > 1 {
+		raw = bytes.Join(parts, nil)
+	}
+	q.call.Content = contentOf(q.call, raw)
 	if !complete {
-		q.call.Body = io.MultiReader(joined(parts), r.Body)
+		q.call.Body = io.MultiReader(bytes.NewReader(raw), r.Body)
 		return nil
 	}
-	q.call.Length = 0
-	for _, p := range parts {
-		q.call.Length += int64(len(p))
-	}
-	q.body = func() io.Reader { return joined(parts) }
+	q.call.Length = int64(len(raw))
+	q.body = func() io.Reader { return bytes.NewReader(raw) }
 	return nil
 }
 
@@ -108,18 +109,6 @@
 	return part[:n], false, err
 }
 
-// joined returns a reader of all parts of a body.
-func joined(parts [][]byte) io.Reader {
-	if len(parts) == 1 {
-		return bytes.NewReader(parts[0])
-	}
-	readers := make([]io.Reader, len(parts))
-	for n, p := range parts {
-		readers[n] = bytes.NewReader(p)
-	}
-	return io.MultiReader(readers...)
-}
-
 // reserve takes memory for the body of a request. It returns false if there is none.
 func (h *Handler) reserve(q *request, n int64) bool {
 	if !h.options.Buffers.Acquire(n) {
