io/hostlink: a peer that exceeds its window is disconnected

A client that speaks the protocol between nodes could fill the memory of a node: data of a body that its target does not read was kept without a bound, since only the sender counted the window.

Change: the receiver counts what has not been read, and closes the connection of a peer that exceeds the window, as with any invalid frame.

TestCrowdOutsideTheLimits does not show it, as its connections send 1 MB at most.

Failed try: without the way back of the pings the test passed without the change too, as a silent peer is disconnected.

--- a/io/hostlink/body_test.go
+++ b/io/hostlink/body_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"io"
+	"net"
 	"net/http"
 	"strings"
 	"sync/atomic"
@@ -135,3 +136,55 @@
 	c.n.Add(int64(n))
 	return n, err
 }
+
+// Guards against a peer that sends more of a body than it may, and fills the memory of a node whose target reads nothing.
+func TestBodyBeyondItsWindow(t *testing.T) {
+	began, done := make(chan struct{}), make(chan struct{})
+	defer close(done)
+	address, c := serve(t, &node{execute: func(context.Context, *mustardmast.TargetCall) (*mustardmast.TargetReply, error) {
+		close(began)
+		<-done
+		return nil, fault.New(fault.Shed, "test")
+	}})
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer l.Close()
+	go func() {
+		call := call()
+		call.Body, call.Length = strings.NewReader("x"), -1
+		call.Body = io.MultiReader(call.Body, blocked{done}) // streamed
+		_, _, _, _ = c.Execute(context.Background(), l.Addr().String(), call)
+	}()
+	client, err := l.Accept()
+	assert.NilError(t, err)
+	defer client.Close()
+	server, err := net.Dial("tcp", address)
+	assert.NilError(t, err)
+	defer server.Close()
+	go func() { _, _ = io.Copy(server, client) }()
+	<-began
+	frame := append([]byte{0, 0, 0x20, 0, 3, 0, 0, 0, 1}, make([]byte, 8192)...) // data of the first stream
+	closed := make(chan struct{})
+	go func() {
+		defer close(closed)
+		_, _ = io.Copy(client, server) // until the node closes the connection
+	}()
+	for range 64 {
+		if _, err := server.Write(frame); err != nil {
+			break
+		}
+	}
+	select {
+	case <-closed:
+	case <-time.After(5 * time.Second):
+		t.Fatal("the node goes on reading")
+	}
+}
+
+// blocked is a body of which nothing can be read before done is closed.
+type blocked struct{ done <-chan struct{} }
+
+func (b blocked) Read([]byte) (int, error) {
+	<-b.done
+	return 0, io.EOF
+}
--- a/io/hostlink/conn.go
+++ b/io/hostlink/conn.go
@@ -299,9 +299,13 @@
 		if s.head == nil || !ok {
 			return errProtocol
 		}
-		s.handleReply(head, body, last)
+		if !s.handleReply(head, body, last) {
+			return errProtocol
+		}
 	case kindData:
-		s.recv.push(payload, last)
+		if !s.recv.push(payload, last) {
+			return errProtocol
+		}
 	case kindCredit:
 		n, size := binary.Uvarint(payload)
 		if size <= 0 {
--- a/io/hostlink/server.go
+++ b/io/hostlink/server.go
@@ -136,7 +136,11 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	st := newStream()
 	st.conn, st.id, st.onAbort = c, id, cancel
-	st.recv.push(body, last)
+	if !st.recv.push(body, last) {
+		cancel()
+		c.fail(errProtocol)
+		return
+	}
 	if !c.acceptStream(st) {
 		cancel()
 		go st.sendError(fault.New(fault.QueueFull, "too many concurrent calls on one connection"), mustardmast.TargetReport{}) // it may block
--- a/io/hostlink/stream.go
+++ b/io/hostlink/stream.go
@@ -40,11 +40,13 @@
 	return s
 }
 
-func (s *stream) handleReply(head, body []byte, last bool) {
-	if !last {
-		s.recv.push(body, false) // before further frames arrive
+// handleReply returns false if the body exceeds the window.
+func (s *stream) handleReply(head, body []byte, last bool) bool {
+	if !last && !s.recv.push(body, false) { // before further frames arrive
+		return false
 	}
 	s.replyOnce.Do(func() { s.head <- reply{head: head, body: body, last: last} })
+	return true
 }
 
 // abort ends the stream because the peer canceled it or the connection was lost.
@@ -158,6 +160,7 @@
 	monitor
 	grant      func(n int) // grants the sender n further bytes
 	chunks     [][]byte
+	unread     int // bytes in chunks
 	uncredited int // bytes read since the last grant
 	last       bool
 }
@@ -168,13 +171,19 @@
 	return b
 }
 
-func (b *recvBuffer) push(p []byte, last bool) {
+// push adds received data. It returns false, and drops the data, if the sender has exceeded its window.
+func (b *recvBuffer) push(p []byte, last bool) (ok bool) {
 	b.update(func() {
+		if ok = b.unread+len(p) <= WindowSize; !ok {
+			return
+		}
 		if len(p) > 0 {
 			b.chunks = append(b.chunks, p)
+			b.unread += len(p)
 		}
 		b.last = b.last || last
 	})
+	return ok
 }
 
 // complete reports whether the whole body has been received.
@@ -207,6 +216,7 @@
 		return 0, 0, io.EOF
 	}
 	n = copy(p, b.chunks[0])
+	b.unread -= n
 	if b.chunks[0] = b.chunks[0][n:]; len(b.chunks[0]) == 0 {
 		b.chunks = b.chunks[1:]
 	}
