io/hostlink, io/inlet: idle connections of other nodes make room, slow readers get their response

A connection between nodes counts as waiting while it has no calls. A write that has made progress within its timeout goes on.

TestUsageOfConnection (io/hostlink), TestSlowClientGetsItsResponse (io/inlet). Failed tries: two tests of slow clients with real connections, which depended on the sizes of kernel buffers; one of them did not end.

--- a/io/hostlink/conn.go
+++ b/io/hostlink/conn.go
@@ -46,6 +46,7 @@
 	onCall   callHandler   // nil on the dialing side
 	onClose  func(c *conn)
 	onSilent func() // called when the connection turns silent
+	usage    usage  // nil if nobody is to be told
 
 	lastReceived atomic.Int64 // time of the last received frame, in Unix nanoseconds
 	silent       atomic.Bool
@@ -61,6 +62,12 @@
 	flushing     bool
 }
 
+// usage is told whether a connection has calls, by connections that can be closed for others when they have none.
+type usage interface {
+	Serving() bool // returns false if the connection has been closed
+	Waiting()
+}
+
 // callHandler handles the first frame of a call. It must not block.
 type callHandler func(c *conn, id uint32, head, body []byte, last bool)
 
@@ -86,6 +93,9 @@
 
 func (c *conn) addStream(s *stream) {
 	if len(c.streams) == 0 {
+		if c.usage != nil {
+			c.usage.Serving()
+		}
 		c.lastReceived.Store(time.Now().UnixNano()) // an idle connection receives nothing, so the time counts from its first call
 		c.pingSent = false
 		c.timer.Reset(pingAfter)
@@ -111,6 +121,9 @@
 	delete(c.streams, s.id)
 	if len(c.streams) == 0 {
 		c.lastUsed = time.Now()
+		if c.usage != nil {
+			c.usage.Waiting()
+		}
 	}
 }
 
--- a/io/hostlink/conn_test.go
+++ b/io/hostlink/conn_test.go
@@ -183,3 +183,45 @@
 	assert.NilError(t, err)
 	assert.NilError(t, reply.Body.Close())
 }
+
+// Guards against a connection between nodes that counts as unused while it has calls, so that it may be closed for
+// another one, and against one that counts as used for good.
+func TestUsageOfConnection(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	events := make(chan string, 10)
+	server := hostlink.NewServer(&node{execute: func(context.Context, *mustardmast.TargetCall) (*mustardmast.TargetReply, error) {
+		events <- "call"
+		return &mustardmast.TargetReply{Status: 200, Length: 0, Body: http.NoBody}, nil
+	}}, nil)
+	go func() { _ = server.Serve(usageListener{l, events}) }()
+	defer server.Close()
+	c := hostlink.NewClient(net.IPv4(127, 0, 0, 1), func(string) {})
+	defer c.Close()
+	for range 2 {
+		reply, _, _, err := c.Execute(context.Background(), l.Addr().String(), call())
+		assert.NilError(t, err)
+		assert.NilError(t, reply.Body.Close())
+		for _, want := range []string{"serving", "call", "waiting"} {
+			assert.Equal(t, <-events, want)
+		}
+	}
+}
+
+type usageListener struct {
+	net.Listener
+	events chan string
+}
+
+func (l usageListener) Accept() (net.Conn, error) {
+	n, err := l.Listener.Accept()
+	return usageConn{n, l.events}, err
+}
+
+type usageConn struct {
+	net.Conn
+	events chan string
+}
+
+func (c usageConn) Serving() bool { c.events <- "serving"; return true }
+func (c usageConn) Waiting()      { c.events <- "waiting" }
--- a/io/hostlink/server.go
+++ b/io/hostlink/server.go
@@ -99,9 +99,6 @@
 	return err
 }
 
-// keeper is a connection that its listener may close until it is kept.
-type keeper interface{ Keep() bool }
-
 func (s *Server) serveConn(n net.Conn) {
 	_ = n.SetReadDeadline(time.Now().Add(prefaceTimeout)) // if this fails, so does the read
 	var got [len(preface)]byte
@@ -109,11 +106,9 @@
 		_ = n.Close() // not a node, or another protocol version
 		return
 	}
-	if k, ok := n.(keeper); ok && !k.Keep() {
-		return
-	}
 	_ = n.SetReadDeadline(time.Time{}) // if this fails, a later read ends the connection
 	c := newConn(n, serverIdleTimeout, s.handleCall, s.removeConn, func() {})
+	c.usage, _ = n.(usage)
 	s.mu.Lock()
 	closed := s.closed
 	s.conns[c] = struct{}{}
--- a/io/inlet/conn.go
+++ b/io/inlet/conn.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"net"
+	"os"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -88,6 +89,9 @@
 		n, err = c.Conn.Write(p[:min(maxWrite, len(p))])
 		c.inlet.set.Written(c.id)
 		written, p = written+n, p[n:]
+		if n > 0 && errors.Is(err, os.ErrDeadlineExceeded) {
+			err = nil // the client reads slowly
+		}
 	}
 	return written, err
 }
@@ -105,12 +109,16 @@
 	return c.Conn.Close()
 }
 
-// Keep makes the inlet not close the connection for another one while its client reads. It returns false if it has been closed.
-func (c *conn) Keep() bool {
+// Serving and Waiting tell the inlet whether the connection serves requests, for servers that Guard does not know. Serving
+// returns false if the connection has been closed.
+func (c *conn) Serving() bool {
 	c.inHead.Store(false)
 	return c.inlet.set.Serving(c.id)
 }
 
+// Waiting implements what Serving describes.
+func (c *conn) Waiting() { c.inlet.set.Waiting(time.Now(), c.id) }
+
 // CloseWrite shuts down the writing side of the connection.
 func (c *conn) CloseWrite() error {
 	if w, ok := c.Conn.(interface{ CloseWrite() error }); ok {
