--- a/io/fleet/fleet.go
+++ b/io/fleet/fleet.go
@@ -1,10 +1,10 @@
 // Package fleet keeps the hosts that a node knows and its configuration consistent with those of the other nodes.
 //
 // The platform's store is used for discovery: each node registers its address there when it starts and when the store was
-// restored from a copy, reads the entries of the others, and sends its own record to each of them. From then on nodes send each other their changes, and a node
-// that cannot be reached is retried directly. The configuration is read by a watch on the store. In addition every
-// reply and every gossip message carries the configuration version of its sender, and a node with an older version
-// fetches the configuration from the sender. Nodes of the same service exchange evidence about requests that crash targets.
+// restored from a copy, reads the entries of the others, and sends its own record to each of them. From then on nodes
+// send each other their changes, and a node that cannot be reached is retried directly. The configuration is read by a
+// watch on the store. In addition every reply and every gossip message carries the configuration version of its sender, and
+// a node with an older version fetches the configuration from the sender. Nodes of the same service exchange evidence about requests that crash targets.
 package fleet
 
 import (
--- a/io/inlet/conn.go
+++ b/io/inlet/conn.go
@@ -73,7 +73,9 @@
 func (c *conn) releaseHead() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.inlet.heads.Release(c.taken)
+	if c.taken > 0 {
+		c.inlet.heads.Release(c.taken)
+	}
 	c.size, c.taken = 0, 0
 }
 
@@ -111,10 +113,7 @@
 
 // Serving and Waiting tell the inlet whether the connection serves requests, for servers that Guard does not know. Serving
 // returns false if the connection has been closed.
-func (c *conn) Serving() bool {
-	c.inHead.Store(false)
-	return c.inlet.set.Serving(c.id)
-}
+func (c *conn) Serving() bool { return c.inlet.set.Serving(c.id) }
 
 // Waiting implements what Serving describes.
 func (c *conn) Waiting() { c.inlet.set.Waiting(time.Now(), c.id) }
--- a/io/inlet/inlet.go
+++ b/io/inlet/inlet.go
@@ -31,8 +31,8 @@
 	conns map[uint64]*conn
 }
 
-// New returns an inlet for at most limit connections, whose heads take memory from a quota. It calls nothing before
-// Listener and Guard.
+// New returns an inlet for at most limit connections, whose heads take memory from a quota. Heads is nil for a server whose
+// protocol is not HTTP.
 func New(limit int, heads *quota.Quota) *Inlet {
 	return &Inlet{set: connlimit.New(limit), heads: heads, conns: map[uint64]*conn{}}
 }
@@ -65,7 +65,7 @@
 // admit adds a connection. It returns nil if there is no room for it.
 func (i *Inlet) admit(n net.Conn) *conn {
 	c := &conn{Conn: n, inlet: i, id: i.lastID.Add(1)}
-	c.inHead.Store(true)
+	c.inHead.Store(i.heads != nil)
 	i.mu.Lock()
 	i.conns[c.id] = c
 	i.mu.Unlock()
@@ -115,7 +115,7 @@
 	hook := s.ConnState
 	s.ConnState = func(n net.Conn, state http.ConnState) {
 		if c, ok := n.(*conn); ok && state == http.StateIdle {
-			c.inHead.Store(true)
+			c.inHead.Store(i.heads != nil)
 		}
 		if hook != nil {
 			hook(n, state)
--- a/io/inlet/inlet_test.go
+++ b/io/inlet/inlet_test.go
@@ -108,3 +108,18 @@
 	assert.NilError(t, err)
 	assert.Equal(t, resp.StatusCode, http.StatusOK)
 }
+
+// Guards against connections of another protocol whose data counts as heads and is never released.
+func TestOtherProtocolTakesNoHeads(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer l.Close()
+	client := dial(t, l.Addr().String())
+	accepted, err := inlet.New(1, nil).Listener(l).Accept()
+	assert.NilError(t, err)
+	_, err = client.Write(make([]byte, 64<<10))
+	assert.NilError(t, err)
+	_, err = io.ReadFull(accepted, make([]byte, 64<<10))
+	assert.NilError(t, err)
+	assert.NilError(t, accepted.Close())
+}
--- a/sidecar/inlets.go
+++ b/sidecar/inlets.go
@@ -32,7 +32,7 @@
 		return max(1, int(share*min(float64(s.MaxDescriptors()), byMemory)))
 	}
 	in := &inlets{
-		callers: inlet.New(connections(callerShare), m.heads), peers: inlet.New(connections(peerShare), m.heads),
+		callers: inlet.New(connections(callerShare), m.heads), peers: inlet.New(connections(peerShare), nil),
 		announcements: inlet.New(connections(sideShare), m.heads), readiness: inlet.New(connections(sideShare), m.heads),
 		metrics: inlet.New(connections(sideShare), m.heads),
 	}
