--- a/sidecar/soak_test.go
+++ b/sidecar/soak_test.go
@@ -381,25 +381,3 @@
 	program := buildProgram(t)
 	runSeeds(t, append([]uint64{1, 2, 3}, failedSeeds...), func(t *testing.T, seed uint64) { soakOnce(t, program, soakFaults, seed) })
 }
-
-// buildProgram builds the program of the nodes and returns its path.
-func buildProgram(t *testing.T) string {
-	t.Helper()
-	program := filepath.Join(t.TempDir(), "mustardmast")
-	out, err := exec.Command("go", "build", "-o", program, "mustardmast/cmd/mustardmast").CombinedOutput()
-	assert.NilError(t, err, "%s", out)
-	return program
-}
-
-// runSeeds runs a test with the given seeds and, in a soak test, with new ones.
-func runSeeds(t *testing.T, seeds []uint64, run func(t *testing.T, seed uint64)) {
-	t.Helper()
-	newSeed := uint64(time.Now().UnixNano())
-	for _, seed := range seeds {
-		t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) { run(t, seed) })
-	}
-	for end := time.Now().Add(soak.Duration()); time.Now().Before(end) && !t.Failed(); {
-		newSeed++
-		t.Run(strconv.FormatUint(newSeed, 10), func(t *testing.T) { run(t, newSeed) })
-	}
-}
