io/ingress: a time left out of range no longer fails the request

Cause: Deadline-Ms is a float that the caller writes (1e300 and inf are accepted), and was converted to a duration without a bound. On x86-64 the result is negative, so the request was past its deadline at once and got 503; on arm64 it is the longest duration, and the route's timeout applies.

Change: the value is bounded, as the times of the settings are, to 1e9 s. The route's timeout then applies on each processor.

TestTimeLeftOutOfRange on x86-64: failed before (503 instead of 200 at 1e300), passes after. On arm64 it is expected to pass in both cases.

--- a/io/ingress/ingress.go
+++ b/io/ingress/ingress.go
@@ -49,6 +49,9 @@
 	restartDelay = time.Second
 	// timeoutMargin is subtracted from the timeout of the route, so that the response is sent by then.
 	timeoutMargin = 5 * time.Millisecond
+	// maxTimeLeftMS bounds the time left that a caller states, in milliseconds. The conversion of a larger one overflows,
+	// with a result that depends on the processor.
+	maxTimeLeftMS = 1e12
 )
 
 // Observer receives events of requests. Its methods must not block.
@@ -209,7 +212,7 @@
 func (h *Handler) request(r *http.Request, route *routing.Route, t *routing.Table, now time.Time) *request {
 	timeLeft := route.Timeout()
 	if ms, err := strconv.ParseFloat(r.Header.Get(h.options.Names.TimeLeft), 64); err == nil && ms >= 0 {
-		timeLeft = time.Duration(ms * float64(time.Millisecond))
+		timeLeft = time.Duration(min(maxTimeLeftMS, ms) * float64(time.Millisecond))
 	}
 	q := &request{route: route, timeLeft: timeLeft, arrived: now}
 	c := &mustardmast.TargetCall{
--- a/sidecar/sidecar_test.go
+++ b/sidecar/sidecar_test.go
@@ -231,6 +231,16 @@
 	assert.Assert(t, time.Since(start) < 600*time.Millisecond, "%v", time.Since(start))
 }
 
+// Guards against a time left so long that its conversion overflows, with a result that depends on the processor: the
+// request then seems to be past its deadline.
+func TestTimeLeftOutOfRange(t *testing.T) {
+	entry := newCluster(t).add("board", "a")
+	for _, left := range []string{"1e300", "9223372036855", "inf", "1e400"} {
+		_, resp, text := entry.send("GET", "/board/", http.Header{"Deadline-Ms": {left}}, nil)
+		assert.Equal(t, resp.StatusCode, http.StatusOK, "%s: %s", left, text)
+	}
+}
+
 // Guards against a host whose entry stays in the store after its target has deregistered and its node has stopped.
 func TestStopAfterDeregistrationRemovesHost(t *testing.T) {
 	c := newCluster(t)
