io/hostlink: numbers that are multiplied as floats are bounded

Cause: the longest wait, the admitted fraction and the level in the heads of other nodes are converted to a float, multiplied (by 1.5 in io/localtarget, by 1000 there and here) and converted back. Near the largest integer the product is out of range, with a result that depends on the processor: by reading, on x86-64 the wait of a call ends at once, and a level becomes negative when it is sent on.

Change: the decoder bounds these three numbers to 1e15, which is 1e9 s in microseconds, as the times of the settings. Nodes send far smaller ones.

TestNumbersOutOfRange on x86-64: failed before, passes after. It checks the decoded values, so it fails without the bound on each processor.

--- a/io/hostlink/codec.go
+++ b/io/hostlink/codec.go
@@ -83,6 +83,13 @@
 	return int64(u>>1) ^ -int64(u&1)
 }
 
+// maxMultiplied bounds a number that is multiplied as a float later. The conversion of a larger product back to an
+// integer overflows, with a result that depends on the processor. In microseconds it is about 32 years.
+const maxMultiplied = 1e15
+
+// bounded reads a number that is multiplied as a float later.
+func (d *decoder) bounded() int64 { return max(-maxMultiplied, min(maxMultiplied, d.number())) }
+
 func (d *decoder) text() string {
 	size := d.uvarint()
 	if size > uint64(len(d.data)) {
@@ -149,11 +156,11 @@
 		*text = d.text()
 	}
 	c.Version, c.Priority, c.Rank = uint64(d.number()), int(d.number()), int(d.number())
-	c.AdmittedFraction = float64(max(1, d.number())) / fractionScale
+	c.AdmittedFraction = float64(max(1, d.bounded())) / fractionScale
 	flags := d.number()
 	c.Deadline = now.Add(time.Duration(d.number()) * time.Microsecond)
 	c.Begun = now.Add(-time.Duration(d.number()) * time.Microsecond)
-	c.MaxWait, c.Length = time.Duration(d.number())*time.Microsecond, d.number()
+	c.MaxWait, c.Length = time.Duration(d.bounded())*time.Microsecond, d.number()
 	c.Repeatable, c.SubCall, c.CallerRetry = flags&flagRepeatable != 0, flags&flagSubCall != 0, flags&flagCallerRetry != 0
 	c.Retry, c.OfferedBefore = flags&flagRetry != 0, flags&flagOffered != 0
 	if flags&flagBody != 0 {
@@ -176,7 +183,7 @@
 
 func decodeReport(d *decoder) mustardmast.TargetReport {
 	r := mustardmast.TargetReport{Ready: d.number() == 1, Limit: int(d.number()), Running: int(d.number()), Waiting: int(d.number())}
-	r.Duration, r.Level = time.Duration(d.number())*time.Microsecond, float64(d.number())/levelScale
+	r.Duration, r.Level = time.Duration(d.number())*time.Microsecond, float64(d.bounded())/levelScale
 	r.Version, r.HasSubCalls, r.Service = uint64(d.number()), d.number() == 1, d.text()
 	return r
 }
--- a/io/hostlink/hostlink_test.go
+++ b/io/hostlink/hostlink_test.go
@@ -88,6 +88,25 @@
 	assert.DeepEqual(t, got, *sent)
 }
 
+// Guards against numbers of another node that, converted to a float, multiplied and converted back, overflow with a
+// result that depends on the processor.
+func TestNumbersOutOfRange(t *testing.T) {
+	const scale = 1000 // at least what any of the numbers is multiplied by
+	sent := call()
+	sent.MaxWait, sent.AdmittedFraction = math.MaxInt64, 9e15
+	var got mustardmast.TargetCall
+	address, c := serve(t, &node{report: mustardmast.TargetReport{Level: 9e15}, execute: func(_ context.Context, c *mustardmast.TargetCall) (*mustardmast.TargetReply, error) {
+		got = *c
+		return &mustardmast.TargetReply{Status: 200, Body: http.NoBody}, nil
+	}})
+	reply, report, _, err := c.Execute(context.Background(), address, sent)
+	assert.NilError(t, err)
+	assert.NilError(t, reply.Body.Close())
+	assert.Assert(t, got.MaxWait >= 24*time.Hour && float64(got.MaxWait)*2 < math.MaxInt64, "%v", got.MaxWait)
+	assert.Assert(t, got.AdmittedFraction >= 1 && got.AdmittedFraction*2*scale < math.MaxInt64, "%v", got.AdmittedFraction)
+	assert.Assert(t, report.Level >= 10 && report.Level*2*scale < math.MaxInt64, "%v", report.Level)
+}
+
 // Guards against text from clients and operators that corrupts an encoded call, and against headers of a client or a
 // target that use the link's own field names.
 func TestFieldsThatResembleTheEncoding(t *testing.T) {
