io/orderly, io/targetconn: a body that a reset ends during an upload is truncated

What callers saw: a target answered a long upload at once with a 200 without a length, sent part of its body and reset the connection while the upload was still being written. The client got that part as a complete answer, with a Content-Length that matched it.

Cause: the kernel reports the error of a broken connection once. The upload is written by a goroutine of its own, and when its write got ECONNRESET, the concurrent read got 0 bytes without an error, which is how an orderly end reads. A body without a length is complete at an orderly end.

Fix: io/orderly wraps the connection. Once a write has found it broken, a read returns that error in place of io.EOF. A read that meets io.EOF ends the writes in progress and waits for them, since a write that has taken the error may not have returned to Go yet. EPIPE is not such an error: it means that the peer had closed the connection in order before the reset, or that a read or an earlier write has got the error. Ending the writes loses nothing: a connection is not used after its peer has closed it.

--- /dev/null
+++ b/io/orderly/conn.go
@@ -0,0 +1,82 @@
+// Package orderly distinguishes a connection that its peer has closed from one that broke.
+//
+// The kernel reports the error of a broken connection once, to a read or to a write. If a write gets it, reads return
+// io.EOF, as after an orderly close, and a body that ends with the connection would look complete.
+package orderly
+
+import (
+	"io"
+	"net"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// Conn is a connection whose reads return io.EOF only if the peer has closed it in order. Its methods may be called
+// concurrently.
+type Conn struct {
+	net.Conn
+
+	mu      sync.Mutex
+	written sync.Cond // signaled at the end of a write
+	writing int       // writes in progress
+	err     error     // by which a write has found the connection broken
+}
+
+// New returns a Conn that reads from and writes to c.
+func New(c net.Conn) *Conn {
+	o := &Conn{Conn: c}
+	o.written.L = &o.mu
+	return o
+}
+
+// Write implements net.Conn.
+func (c *Conn) Write(p []byte) (int, error) {
+	c.mu.Lock()
+	c.writing++
+	c.mu.Unlock()
+	n, err := c.Conn.Write(p)
+	c.mu.Lock()
+	c.writing--
+	if isBroken(err) {
+		c.err = err
+	}
+	c.mu.Unlock()
+	c.written.Broadcast()
+	return n, err
+}
+
+// isBroken reports whether the error of a write means that the connection broke. EPIPE does not: the peer has closed the
+// connection before, or the error that broke it has been returned by another call.
+func isBroken(err error) bool {
+	var errno syscall.Errno
+	return errors.As(err, &errno) && errno != syscall.EPIPE
+}
+
+// Read implements net.Conn. The first read that ends with io.EOF also ends the writes in progress: a peer that has closed
+// its side of an HTTP/1 connection does not use the rest of a request.
+func (c *Conn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if err == io.EOF { //nolint:errorlint // a wrapped io.EOF is a failure
+		if broken := c.endWrites(); broken != nil {
+			err = broken
+		}
+	}
+	return n, err
+}
+
+// endWrites ends the writes in progress and returns the error by which any write has found the connection broken.
+func (c *Conn) endWrites() error {
+	// A write that has got the error has left the kernel; one that still waits for the peer to read would wait on.
+	if err := c.SetWriteDeadline(time.Unix(0, 1)); err != nil {
+		return err
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for c.writing > 0 {
+		c.written.Wait()
+	}
+	return c.err
+}
--- a/io/targetconn/targetconn.go
+++ b/io/targetconn/targetconn.go
@@ -20,6 +20,7 @@
 
 	"mustardmast"
 	"mustardmast/core/fault"
+	"mustardmast/io/orderly"
 )
 
 const (
@@ -131,6 +132,7 @@
 	if err != nil {
 		return nil, err
 	}
+	n = orderly.New(n) // the body of a response may end with the connection
 	limited := &io.LimitedReader{R: n, N: math.MaxInt64}
 	return &conn{Conn: n, r: bufio.NewReaderSize(limited, readBufferSize), limited: limited}, nil
 }
--- a/sidecar/cluster_test.go
+++ b/sidecar/cluster_test.go
@@ -34,6 +34,7 @@
 
 	written atomic.Pointer[json.RawMessage] // the latest configuration, as the operator wrote it
 
+	maxBody  int    // bytes, of a request, in the next configuration
 	limits   string // of the machines, as in the settings
 	memoryMB int    // of the machines; 0 if it does not matter
 	program  string // of the node processes; empty for nodes within the test process
@@ -58,7 +59,7 @@
 
 func newCluster(t testing.TB) *cluster {
 	t.Helper()
-	c := &cluster{t: t, store: storestub.New(), limits: `{"MemoryMb":284}`}
+	c := &cluster{t: t, store: storestub.New(), maxBody: 1 << 20, limits: `{"MemoryMb":284}`}
 	s := httptest.NewServer(c.store)
 	t.Cleanup(s.CloseClientConnections)
 	c.storeAddress = s.Listener.Addr().String()
@@ -73,8 +74,8 @@
 
 func (c *cluster) configure(version int, rules ...string) {
 	document := json.RawMessage(fmt.Sprintf(
-		`{"Version":"r%d","Limits":{"MaxHeaderBytes":16384,"MaxBodyBytes":1048576},"Listeners":[{"Host":"a.example","Rules":[%s]}],
-		"Clusters":[{"Name":"board","HealthCheckPath":"/healthz"},{"Name":"ledger","HealthCheckPath":"/healthz"}]}`, version, strings.Join(rules, ",")))
+		`{"Version":"r%d","Limits":{"MaxHeaderBytes":16384,"MaxBodyBytes":%d},"Listeners":[{"Host":"a.example","Rules":[%s]}],
+		"Clusters":[{"Name":"board","HealthCheckPath":"/healthz"},{"Name":"ledger","HealthCheckPath":"/healthz"}]}`, version, c.maxBody, strings.Join(rules, ",")))
 	c.written.Store(&document)
 	c.store.Put("config", "main", document)
 }
