io/targetconn: an answer with a status below 100 or with 101 is rejected

What callers saw: nothing of a plain answer with the status 000, which ended in 502. But when its body looked like an answer, as that of a target which copies another one's does, the client got that body as the answer, with its status. The same with 099, +20 and 101.

Cause: net/http reads any status of three characters that is a number. The loop that skips interim responses took each one below 200 for interim, and read on where the next response would begin, which is the body.

TestBrokenHead judges the client's socket, beside the target and through another node, with no upload, a short one and one of 16 MB that is still being written.

--- a/io/targetconn/exchange.go
+++ b/io/targetconn/exchange.go
@@ -5,7 +5,6 @@
 	"context"
 	"fmt"
 	"io"
-	"math"
 	"net"
 	"net/http"
 	"strconv"
@@ -182,19 +181,6 @@
 	return nil, fmt.Errorf("more than %d responses to other requests", maxStaleResponses)
 }
 
-// readHead reads the head of the next response and skips interim responses.
-func (cn *conn) readHead(request *http.Request) (*http.Response, error) {
-	defer func() { cn.limited.N = math.MaxInt64 }()
-	for range maxInterimResponses {
-		cn.limited.N = maxHeadSize
-		resp, err := http.ReadResponse(cn.r, request)
-		if err != nil || resp.StatusCode >= http.StatusOK {
-			return resp, err
-		}
-	}
-	return nil, fmt.Errorf("more than %d interim responses", maxInterimResponses)
-}
-
 // notExecuted reports whether the response states that the target did not execute the request.
 func (p *Pool) notExecuted(r *http.Response) bool {
 	return r.Header.Get(p.names.NotExecuted) != "" || r.StatusCode == http.StatusMisdirectedRequest
--- a/sidecar/brokenanswer_test.go
+++ b/sidecar/brokenanswer_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -79,3 +80,55 @@
 		}
 	}
 }
+
+// brokenHeads are the heads of answers that must not reach a client, and the bodies that follow them.
+var brokenHeads = map[string]string{
+	"status 000":                        "HTTP/1.1 000 \r\nAttempt-Id: $id\r\nContent-Length: 4\r\n\r\nbody",
+	"status 000 without a body":         "HTTP/1.1 000 Unknown\r\nAttempt-Id: $id\r\nContent-Length: 0\r\n\r\n",
+	"status 000, an answer in its body": "HTTP/1.1 000 \r\nAttempt-Id: $id\r\n\r\nHTTP/1.1 200 OK\r\nAttempt-Id: $id\r\nContent-Length: 4\r\n\r\nbody",
+	"status 099":                        "HTTP/1.1 099 \r\nAttempt-Id: $id\r\n\r\nHTTP/1.1 200 OK\r\nAttempt-Id: $id\r\nContent-Length: 4\r\n\r\nbody",
+	"status +20":                        "HTTP/1.1 +20 OK\r\nAttempt-Id: $id\r\n\r\nHTTP/1.1 200 OK\r\nAttempt-Id: $id\r\nContent-Length: 4\r\n\r\nbody",
+	"status 101":                        "HTTP/1.1 101 Switching Protocols\r\n\r\nHTTP/1.1 200 OK\r\nAttempt-Id: $id\r\nContent-Length: 4\r\n\r\nbody",
+	"blank before the first name":       "HTTP/1.1 200 OK\r\n X: y\r\nAttempt-Id: $id\r\nContent-Length: 4\r\n\r\nbody",
+	"tab within a name":                 "HTTP/1.1 200 OK\r\nAttempt-Id: $id\r\nServer\tSignature: x\r\nContent-Length: 4\r\n\r\nbody",
+	"tab after a name":                  "HTTP/1.1 200 OK\r\nAttempt-Id: $id\r\nContent-Length\t: 4\r\n\r\nbody and more",
+	"NUL in a name":                     "HTTP/1.1 200 OK\r\nAttempt-Id: $id\r\nServer\x00Signature: x\r\nContent-Length: 4\r\n\r\nbody",
+	"escape in a name":                  "HTTP/1.1 200 OK\r\nAttempt-Id: $id\r\nContent-\x1bLength: 4\r\n\r\nbody and more",
+	"DEL in a name":                     "HTTP/1.1 200 OK\r\nAttempt-Id: $id\r\nContent-Length\x7f: 4\r\n\r\nbody and more",
+	"carriage return in a name":         "HTTP/1.1 200 OK\r\nAttempt-Id: $id\r\nContent\r-Length: 4\r\n\r\nbody and more",
+	"line feed in a name":               "HTTP/1.1 200 OK\r\nAttempt-Id: $id\r\nContent\n-Length: 4\r\n\r\nbody and more",
+	"empty name":                        "HTTP/1.1 200 OK\r\nAttempt-Id: $id\r\n: x\r\nContent-Length: 4\r\n\r\nbody",
+	"line without a name":               "HTTP/1.1 200 OK\r\nAttempt-Id: $id\r\nContent-Length\r\n\r\nbody",
+	"control byte in a name of a 1xx":   "HTTP/1.1 103 Early Hints\r\nLink\x01: x\r\n\r\nHTTP/1.1 200 OK\r\nAttempt-Id: $id\r\nContent-Length: 4\r\n\r\nbody",
+	"two lengths":                       "HTTP/1.1 200 OK\r\nAttempt-Id: $id\r\nContent-Length: 4\r\nContent-Length: 5\r\n\r\nbody",
+	"length that is no number":          "HTTP/1.1 200 OK\r\nAttempt-Id: $id\r\nContent-Length: +4\r\n\r\nbody",
+	"unknown coding":                    "HTTP/1.1 200 OK\r\nAttempt-Id: $id\r\nTransfer-Encoding: gzip, chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n",
+}
+
+// Guards against an answer with a broken head that reaches a client, in part or whole, or whose connection carries a
+// further request.
+func TestBrokenHead(t *testing.T) {
+	const upload = 16 << 20
+	c := newCluster(t)
+	c.maxBody = upload
+	c.configure(3, rule("/board/", "idempotent", 2, "board", 2), rule("/ledger/", "non_idempotent", 0, "ledger", 2))
+	near, far := c.add("ledger", "a"), c.add("board", "a")
+	var reused atomic.Bool
+	for name, answer := range brokenHeads {
+		near.target.setHandler(rawAnswer(answer, func(c net.Conn) {
+			_ = c.SetReadDeadline(time.Now().Add(100 * time.Millisecond)) // if it fails, the read below does
+			raw, _ := io.ReadAll(c)
+			if strings.Contains(string(raw), " HTTP/1.1\r\n") {
+				reused.Store(true)
+			}
+			_ = c.Close()
+		}))
+		for _, entry := range []*host{near, far} {
+			for _, length := range []int64{0, 3, upload} {
+				got := entry.exchange("POST", "/ledger/", length)
+				assert.Check(t, got.status == http.StatusBadGateway && got.body == "", "%s, upload of %d bytes: %+v", name, length, got)
+			}
+		}
+		assert.Check(t, !reused.Swap(false), "%s: a further request came on the connection", name)
+	}
+}
