io/targetconn: an answer with a blank in the name of a field is rejected

What callers saw: an answer whose head had "Server Signature: x" came without that line. With "Content-Length : 4" the length was not seen and the client got all bytes up to the end of the connection as the body; with "Transfer-Encoding : chunked" it got the framing of the chunks. With " Content-Length: 4" that line was also passed on, as a part of the value of the field before it. All came as complete answers.

Cause: net/http accepts a blank in a name, but takes the field for an unknown one, and drops it when it writes the answer. It joins a line that begins with a blank to the one before.

Such a line may be an obsolete line folding, which a gateway may reject (RFC 9112, section 5.2); nothing tells it from a name that begins with a blank. Interim responses are checked too.

--- a/sidecar/brokenanswer_test.go
+++ b/sidecar/brokenanswer_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -89,7 +90,12 @@
 	"status 099":                        "HTTP/1.1 099 \r\nAttempt-Id: $id\r\n\r\nHTTP/1.1 200 OK\r\nAttempt-Id: $id\r\nContent-Length: 4\r\n\r\nbody",
 	"status +20":                        "HTTP/1.1 +20 OK\r\nAttempt-Id: $id\r\n\r\nHTTP/1.1 200 OK\r\nAttempt-Id: $id\r\nContent-Length: 4\r\n\r\nbody",
 	"status 101":                        "HTTP/1.1 101 Switching Protocols\r\n\r\nHTTP/1.1 200 OK\r\nAttempt-Id: $id\r\nContent-Length: 4\r\n\r\nbody",
+	"blank within a name":               "HTTP/1.1 200 OK\r\nAttempt-Id: $id\r\nServer Signature: x\r\nContent-Length: 4\r\n\r\nbody",
+	"blank after the name of a length":  "HTTP/1.1 200 OK\r\nAttempt-Id: $id\r\nContent-Length : 4\r\n\r\nbody and more",
+	"blank after the name of a coding":  "HTTP/1.1 200 OK\r\nAttempt-Id: $id\r\nTransfer-Encoding : chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n",
 	"blank before the first name":       "HTTP/1.1 200 OK\r\n X: y\r\nAttempt-Id: $id\r\nContent-Length: 4\r\n\r\nbody",
+	"blank before a name":               "HTTP/1.1 200 OK\r\nAttempt-Id: $id\r\nServer-Signature: x\r\n Content-Length: 4\r\n\r\nbody and more",
+	"tab before a name":                 "HTTP/1.1 200 OK\r\nAttempt-Id: $id\r\nServer-Signature: x\r\n\tContent-Length: 4\r\n\r\nbody and more",
 	"tab within a name":                 "HTTP/1.1 200 OK\r\nAttempt-Id: $id\r\nServer\tSignature: x\r\nContent-Length: 4\r\n\r\nbody",
 	"tab after a name":                  "HTTP/1.1 200 OK\r\nAttempt-Id: $id\r\nContent-Length\t: 4\r\n\r\nbody and more",
 	"NUL in a name":                     "HTTP/1.1 200 OK\r\nAttempt-Id: $id\r\nServer\x00Signature: x\r\nContent-Length: 4\r\n\r\nbody",
@@ -99,7 +105,10 @@
 	"line feed in a name":               "HTTP/1.1 200 OK\r\nAttempt-Id: $id\r\nContent\n-Length: 4\r\n\r\nbody and more",
 	"empty name":                        "HTTP/1.1 200 OK\r\nAttempt-Id: $id\r\n: x\r\nContent-Length: 4\r\n\r\nbody",
 	"line without a name":               "HTTP/1.1 200 OK\r\nAttempt-Id: $id\r\nContent-Length\r\n\r\nbody",
+	"blank in a name of a 1xx":          "HTTP/1.1 103 Early Hints\r\nLink Two: x\r\n\r\nHTTP/1.1 200 OK\r\nAttempt-Id: $id\r\nContent-Length: 4\r\n\r\nbody",
 	"control byte in a name of a 1xx":   "HTTP/1.1 103 Early Hints\r\nLink\x01: x\r\n\r\nHTTP/1.1 200 OK\r\nAttempt-Id: $id\r\nContent-Length: 4\r\n\r\nbody",
+	"blank in a name after a 1xx":       "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\nHTTP/1.1 200 OK\r\nAttempt-Id: $id\r\nContent-Length : 4\r\n\r\nbody",
+	"blank in a name of a refusal":      "HTTP/1.1 503 Service Unavailable\r\nAttempt-Id: $id\r\nNot-Executed: 1\r\nRetry After: 1\r\nContent-Length: 0\r\n\r\n",
 	"two lengths":                       "HTTP/1.1 200 OK\r\nAttempt-Id: $id\r\nContent-Length: 4\r\nContent-Length: 5\r\n\r\nbody",
 	"length that is no number":          "HTTP/1.1 200 OK\r\nAttempt-Id: $id\r\nContent-Length: +4\r\n\r\nbody",
 	"unknown coding":                    "HTTP/1.1 200 OK\r\nAttempt-Id: $id\r\nTransfer-Encoding: gzip, chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n",
@@ -115,20 +124,27 @@
 	near, far := c.add("ledger", "a"), c.add("board", "a")
 	var reused atomic.Bool
 	for name, answer := range brokenHeads {
-		near.target.setHandler(rawAnswer(answer, func(c net.Conn) {
+		var answers sync.WaitGroup
+		handler := rawAnswer(answer, func(c net.Conn) {
 			_ = c.SetReadDeadline(time.Now().Add(100 * time.Millisecond)) // if it fails, the read below does
 			raw, _ := io.ReadAll(c)
 			if strings.Contains(string(raw), " HTTP/1.1\r\n") {
 				reused.Store(true)
 			}
 			_ = c.Close()
-		}))
+		})
+		near.target.setHandler(func(w http.ResponseWriter, r *http.Request) {
+			answers.Add(1)
+			defer answers.Done()
+			handler(w, r)
+		})
 		for _, entry := range []*host{near, far} {
 			for _, length := range []int64{0, 3, upload} {
 				got := entry.exchange("POST", "/ledger/", length)
 				assert.Check(t, got.status == http.StatusBadGateway && got.body == "", "%s, upload of %d bytes: %+v", name, length, got)
 			}
 		}
+		answers.Wait()
 		assert.Check(t, !reused.Swap(false), "%s: a further request came on the connection", name)
 	}
 }
