io/targetconn: an answer whose version does not allow its framing is rejected

What callers saw: a target answered with HTTP/1.0 and Transfer-Encoding, and the client got the framing of the chunks as part of a complete body. An answer with HTTP/2.0 in its status line was passed on as one of HTTP/1.1.

Cause: net/http ignores Transfer-Encoding in HTTP/1.0 and reads up to the end of the connection, and it reads any version.

Fix: both are rejected. RFC 9112, section 6.1, calls the framing of the former faulty. Its field is no longer in the parsed head, so the check uses the recorded bytes.

--- a/io/targetconn/head.go
+++ b/io/targetconn/head.go
@@ -6,6 +6,9 @@
 	"io"
 	"math"
 	"net/http"
+	"strings"
+
+	"github.com/pkg/errors"
 
 	"mustardmast/io/message"
 )
@@ -63,26 +66,32 @@
 // checkHead returns an error if a response is not one to a request of this package. Raw are the bytes that it was read
 // from.
 func checkHead(resp *http.Response, raw []byte) error {
+	if resp.ProtoMajor != 1 {
+		return fmt.Errorf("response version: expected HTTP/1.0 or HTTP/1.1, got %s", resp.Proto)
+	}
 	if resp.StatusCode == http.StatusSwitchingProtocols {
 		return fmt.Errorf("response status %d to a request without Upgrade", resp.StatusCode)
 	}
 	if err := message.CheckHead(resp.StatusCode, resp.Header); err != nil {
 		return err
 	}
-	return checkFields(raw)
+	return checkFields(resp, raw)
 }
 
 // checkFields checks what net/http drops when it reads the fields.
-func checkFields(raw []byte) error {
+func checkFields(resp *http.Response, raw []byte) error {
 	_, raw, _ = bytes.Cut(raw, []byte("\n")) // the status line
 	for {
 		line, rest, _ := bytes.Cut(raw, []byte("\n"))
+		name, _, isField := bytes.Cut(line, []byte(":"))
 		switch {
 		case len(bytes.TrimSuffix(line, []byte("\r"))) == 0:
 			return nil
 		case line[0] == ' ' || line[0] == '\t':
 			// An obsolete line folding, or a name that begins with a blank. RFC 9112, section 5.2, lets a gateway reject both.
 			return fmt.Errorf("response head: expected the name of a field, got %q", line)
+		case isField && !resp.ProtoAtLeast(1, 1) && strings.EqualFold(string(name), "Transfer-Encoding"):
+			return errors.New("response with Transfer-Encoding in HTTP/1.0, which has none")
 		}
 		raw = rest
 	}
--- a/sidecar/brokenanswer_test.go
+++ b/sidecar/brokenanswer_test.go
@@ -109,6 +109,8 @@
 	"control byte in a name of a 1xx":   "HTTP/1.1 103 Early Hints\r\nLink\x01: x\r\n\r\nHTTP/1.1 200 OK\r\nAttempt-Id: $id\r\nContent-Length: 4\r\n\r\nbody",
 	"blank in a name after a 1xx":       "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\nHTTP/1.1 200 OK\r\nAttempt-Id: $id\r\nContent-Length : 4\r\n\r\nbody",
 	"blank in a name of a refusal":      "HTTP/1.1 503 Service Unavailable\r\nAttempt-Id: $id\r\nNot-Executed: 1\r\nRetry After: 1\r\nContent-Length: 0\r\n\r\n",
+	"chunks in HTTP/1.0":                "HTTP/1.0 200 OK\r\nAttempt-Id: $id\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n",
+	"another version of HTTP":           "HTTP/2.0 200 OK\r\nAttempt-Id: $id\r\nContent-Length: 4\r\n\r\nbody",
 	"two lengths":                       "HTTP/1.1 200 OK\r\nAttempt-Id: $id\r\nContent-Length: 4\r\nContent-Length: 5\r\n\r\nbody",
 	"length that is no number":          "HTTP/1.1 200 OK\r\nAttempt-Id: $id\r\nContent-Length: +4\r\n\r\nbody",
 	"unknown coding":                    "HTTP/1.1 200 OK\r\nAttempt-Id: $id\r\nTransfer-Encoding: gzip, chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n",
