--- a/sidecar/brokenanswer_test.go
+++ b/sidecar/brokenanswer_test.go
@@ -65,18 +65,26 @@
 	}
 }
 
+const maxUpload = 64 << 20 // bytes
+
+// newUploadCluster returns a cluster with a limit for large uploads, and its nodes beside and away from the target of
+// ledger.
+func newUploadCluster(t *testing.T) (near, far *host) {
+	t.Helper()
+	c := newCluster(t)
+	c.maxBody = maxUpload
+	c.configure(3, rule("/board/", "idempotent", 2, "board", 2), rule("/ledger/", "non_idempotent", 0, "ledger", 2))
+	return c.add("ledger", "a"), c.add("board", "a")
+}
+
 // Guards against a body without a length that ends with a reset, while the request is still being written, and reaches the
 // client as a complete answer.
 func TestBodyResetDuringUpload(t *testing.T) {
-	const upload = 64 << 20
-	c := newCluster(t)
-	c.maxBody = upload
-	c.configure(3, rule("/board/", "idempotent", 2, "board", 2), rule("/ledger/", "non_idempotent", 0, "ledger", 2))
-	near, far := c.add("ledger", "a"), c.add("board", "a")
+	near, far := newUploadCluster(t)
 	near.target.setHandler(rawAnswer("HTTP/1.1 200 OK\r\nAttempt-Id: $id\r\n\r\npart of the body", abort))
 	for _, entry := range []*host{near, far} {
 		for range 20 {
-			got := entry.exchange("POST", "/ledger/", upload)
+			got := entry.exchange("POST", "/ledger/", maxUpload)
 			assert.Check(t, got.status != http.StatusOK || !got.whole, "%+v", got)
 		}
 	}
@@ -119,11 +127,7 @@
 // Guards against an answer with a broken head that reaches a client, in part or whole, or whose connection carries a
 // further request.
 func TestBrokenHead(t *testing.T) {
-	const upload = 16 << 20
-	c := newCluster(t)
-	c.maxBody = upload
-	c.configure(3, rule("/board/", "idempotent", 2, "board", 2), rule("/ledger/", "non_idempotent", 0, "ledger", 2))
-	near, far := c.add("ledger", "a"), c.add("board", "a")
+	near, far := newUploadCluster(t)
 	var reused atomic.Bool
 	for name, answer := range brokenHeads {
 		var answers sync.WaitGroup
@@ -141,7 +145,7 @@
 			handler(w, r)
 		})
 		for _, entry := range []*host{near, far} {
-			for _, length := range []int64{0, 3, upload} {
+			for _, length := range []int64{0, 3, 16 << 20} {
 				got := entry.exchange("POST", "/ledger/", length)
 				assert.Check(t, got.status == http.StatusBadGateway && got.body == "", "%s, upload of %d bytes: %+v", name, length, got)
 			}
@@ -150,3 +154,81 @@
 		assert.Check(t, !reused.Swap(false), "%s: a further request came on the connection", name)
 	}
 }
+
+const answerHead = "HTTP/1.1 200 OK\r\nAttempt-Id: $id\r\nConnection: close\r\n"
+
+// bodyUploads are the lengths of the requests whose answers are cut: none, and one that is still being written.
+var bodyUploads = []int64{0, 16 << 20}
+
+// closeWhole ends an answer in order and reads the rest of the request.
+func closeWhole(c net.Conn) {
+	_ = c.(*net.TCPConn).CloseWrite() // if it fails, the answer has no end and the test fails
+	_, _ = io.Copy(io.Discard, c)
+	_ = c.Close()
+}
+
+// Guards against a body that breaks off, in any framing and however the connection ends, and reaches the client as a
+// complete answer.
+func TestCutBody(t *testing.T) {
+	long := strings.Repeat("x", 300<<10) // too long to be buffered by a node
+	bodies := map[string]string{
+		"length":                     "Content-Length: 20\r\n\r\npart",
+		"length, long":               "Content-Length: 400000\r\n\r\n" + long,
+		"chunks, between two":        "Transfer-Encoding: chunked\r\n\r\n4\r\npart\r\n",
+		"chunks, within one":         "Transfer-Encoding: chunked\r\n\r\n14\r\npart",
+		"chunks, within the end":     "Transfer-Encoding: chunked\r\n\r\n4\r\npart\r\n0\r\n",
+		"chunks, within a trailer":   "Transfer-Encoding: chunked\r\n\r\n4\r\npart\r\n0\r\nX: y\r\n",
+		"chunks, size is no number":  "Transfer-Encoding: chunked\r\n\r\n4\r\npart\r\nx\r\n\r\n",
+		"chunks, long":               "Transfer-Encoding: chunked\r\n\r\n4b000\r\n" + long + "\r\n",
+		"end of connection":          "\r\npart",
+		"end of connection, no body": "\r\n",
+		"end of connection, long":    "\r\n" + long,
+	}
+	near, far := newUploadCluster(t)
+	for name, body := range bodies {
+		for endName, end := range map[string]func(net.Conn){"reset": abort, "end": closeWhole} {
+			if strings.HasPrefix(name, "end of connection") && endName == "end" {
+				continue // this is how such a body ends
+			}
+			for _, interim := range []string{"", "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n"} {
+				near.target.setHandler(rawAnswer(interim+answerHead+body, end))
+				for _, entry := range []*host{near, far} {
+					for _, upload := range bodyUploads {
+						got := entry.exchange("POST", "/ledger/", upload)
+						assert.Check(t, got.status != http.StatusOK || !got.whole, "%s, %s, interim %q, upload of %d bytes: %d bytes are whole",
+							name, endName, interim, upload, len(got.body))
+					}
+				}
+			}
+		}
+	}
+}
+
+// Guards against a complete answer that is lost or cut because of how its connection ends.
+func TestWholeBody(t *testing.T) {
+	long := strings.Repeat("x", 300<<10)
+	near, far := newUploadCluster(t)
+	for _, body := range []string{"", "whole", long} {
+		for name, answer := range map[string]string{
+			"length":            fmt.Sprintf("Content-Length: %d\r\n\r\n%s", len(body), body),
+			"chunks":            "Transfer-Encoding: chunked\r\n\r\n" + strings.TrimPrefix(fmt.Sprintf("%x\r\n%s\r\n", len(body), body), "0\r\n\r\n") + "0\r\n\r\n",
+			"end of connection": "\r\n" + body,
+		} {
+			for endName, end := range map[string]func(net.Conn){"reset": abort, "end": closeWhole} {
+				if name == "end of connection" && endName == "reset" {
+					continue
+				}
+				for _, interim := range []string{"", "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n"} {
+					near.target.setHandler(rawAnswer(interim+answerHead+answer, end))
+					for _, entry := range []*host{near, far} {
+						for _, upload := range bodyUploads {
+							got := entry.exchange("POST", "/ledger/", upload)
+							assert.Check(t, got.status == http.StatusOK && got.whole && got.body == body, "%s, %s, interim %q, upload of %d bytes, answer of %d: %d, %d bytes, whole %v",
+								name, endName, interim, upload, len(body), got.status, len(got.body), got.whole)
+						}
+					}
+				}
+			}
+		}
+	}
+}
