--- a/io/message/head.go
+++ b/io/message/head.go
@@ -14,6 +14,9 @@
 	if status < http.StatusContinue || status > maxStatus {
 		return fmt.Errorf("response status: expected 100 to %d, got %03d", maxStatus, status)
 	}
+	if status == http.StatusSwitchingProtocols {
+		return fmt.Errorf("response status %d to a request without Upgrade", status)
+	}
 	for name := range h {
 		if !isToken(name) {
 			return fmt.Errorf("response head: expected the name of a field, got %q", name)
--- a/io/message/head_test.go
+++ b/io/message/head_test.go
@@ -11,7 +11,7 @@
 
 // Guards against an answer with a status or a name that HTTP does not have, and against rejecting one that it has.
 func TestCheckHead(t *testing.T) {
-	for status, ok := range map[int]bool{-1: false, 0: false, 99: false, 100: true, 200: true, 599: true, 999: true, 1000: false} {
+	for status, ok := range map[int]bool{-1: false, 0: false, 99: false, 100: true, 101: false, 200: true, 599: true, 999: true, 1000: false} {
 		assert.Equal(t, message.CheckHead(status, http.Header{"A": {"b"}}) == nil, ok, "%d", status)
 	}
 	for name, ok := range map[string]bool{
--- /dev/null
+++ b/io/rawhead/recorder.go
@@ -0,0 +1,79 @@
+// Package rawhead checks the heads of HTTP/1 responses by their bytes. Package net/http accepts heads that are broken, and
+// does not show all of that in what it returns.
+package rawhead
+
+import (
+	"bytes"
+	"fmt"
+	"net/http"
+	"strings"
+	"sync"
+
+	"github.com/pkg/errors"
+
+	"mustardmast/io/message"
+)
+
+// maxSpare is the size in bytes up to which the memory of a head is used again.
+const maxSpare = 4 << 10
+
+// Recorder records what is read from a connection, from the first byte of a response on. Its methods may be called
+// concurrently.
+type Recorder struct {
+	mu  sync.Mutex
+	raw []byte
+}
+
+// Write adds bytes to the recording. It never fails.
+func (r *Recorder) Write(p []byte) (int, error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.raw = append(r.raw, p...)
+	return len(p), nil
+}
+
+// Reset starts a new recording.
+func (r *Recorder) Reset() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.raw = r.raw[:0]
+}
+
+// Check removes the first head, interim or final, from the recording. It returns an error if the head is broken. Status and
+// h are what net/http has read from it.
+func (r *Recorder) Check(status int, h http.Header) error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	statusLine, fields, _ := bytes.Cut(r.raw, []byte("\n"))
+	if !bytes.HasPrefix(statusLine, []byte("HTTP/1.")) {
+		return fmt.Errorf("response version: expected HTTP/1.0 or HTTP/1.1, got %.20q", statusLine)
+	}
+	if err := message.CheckHead(status, h); err != nil {
+		return err
+	}
+	rest, err := checkFields(fields, bytes.HasPrefix(statusLine, []byte("HTTP/1.0")))
+	if cap(r.raw) > maxSpare {
+		r.raw = bytes.Clone(rest)
+	} else {
+		r.raw = append(r.raw[:0], rest...)
+	}
+	return err
+}
+
+// checkFields checks what net/http drops when it reads the fields of a head. It returns what follows the head.
+func checkFields(fields []byte, http10 bool) ([]byte, error) {
+	for {
+		line, rest, _ := bytes.Cut(fields, []byte("\n"))
+		name, _, isField := bytes.Cut(line, []byte(":"))
+		switch {
+		case len(bytes.TrimSuffix(line, []byte("\r"))) == 0:
+			return rest, nil
+		case line[0] == ' ' || line[0] == '\t':
+			// An obsolete line folding, or a name that begins with a blank. RFC 9112, section 5.2, lets a gateway reject both.
+			return nil, fmt.Errorf("response head: expected the name of a field, got %q", line)
+		case http10 && isField && strings.EqualFold(string(name), "Transfer-Encoding"):
+			return nil, errors.New("response with Transfer-Encoding in HTTP/1.0, which has none")
+		}
+		fields = rest
+	}
+}
--- a/io/targetconn/targetconn.go
+++ b/io/targetconn/targetconn.go
@@ -53,7 +53,7 @@
 	net.Conn
 	r         *bufio.Reader
 	limited   *io.LimitedReader // underlies r; bounds the response head
-	recorder  *recorder         // underlies limited
+	head      *headReader       // underlies limited
 	idleSince time.Time
 	kept      bool     // has carried an earlier call
 	refused   []string // ids of calls that the target refused on this connection
@@ -134,9 +134,9 @@
 		return nil, err
 	}
 	n = orderly.New(n) // the body of a response may end with the connection
-	recorder := &recorder{Reader: n}
-	limited := &io.LimitedReader{R: recorder, N: math.MaxInt64}
-	return &conn{Conn: n, r: bufio.NewReaderSize(limited, readBufferSize), limited: limited, recorder: recorder}, nil
+	head := &headReader{Reader: n}
+	limited := &io.LimitedReader{R: head, N: math.MaxInt64}
+	return &conn{Conn: n, r: bufio.NewReaderSize(limited, readBufferSize), limited: limited, head: head}, nil
 }
 
 // Do sends a call to the lifetime of the target with the given id. An error has the outcome not-executed only if the
