--- a/io/orderly/conn.go
+++ b/io/orderly/conn.go
@@ -5,6 +5,7 @@
 package orderly
 
 import (
+	"context"
 	"io"
 	"net"
 	"sync"
@@ -23,6 +24,21 @@
 	written sync.Cond // signaled at the end of a write
 	writing int       // writes in progress
 	err     error     // by which a write has found the connection broken
+	record  io.Writer // gets a copy of what is read; may be nil
+}
+
+// DialFunc opens connections, as the method DialContext of net.Dialer does.
+type DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
+
+// Dial returns a function that opens connections by dial and returns each as a Conn.
+func Dial(dial DialFunc) DialFunc {
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		c, err := dial(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		return New(c), nil
+	}
 }
 
 // New returns a Conn that reads from and writes to c.
@@ -59,6 +75,12 @@
 // its side of an HTTP/1 connection does not use the rest of a request.
 func (c *Conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
+	c.mu.Lock()
+	record := c.record
+	c.mu.Unlock()
+	if n > 0 && record != nil {
+		_, _ = record.Write(p[:n]) // a recording has no part in the read
+	}
 	if err == io.EOF { //nolint:errorlint // a wrapped io.EOF is a failure
 		if broken := c.endWrites(); broken != nil {
 			err = broken
@@ -67,6 +89,13 @@
 	return n, err
 }
 
+// Record makes the connection write a copy of what is read from now on to w, in place of the writer of an earlier call.
+func (c *Conn) Record(w io.Writer) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.record = w
+}
+
 // endWrites ends the writes in progress and returns the error by which any write has found the connection broken.
 func (c *Conn) endWrites() error {
 	// A write that has got the error has left the kernel; one that still waits for the peer to read would wait on.
--- a/io/rawhead/recorder.go
+++ b/io/rawhead/recorder.go
@@ -20,23 +20,33 @@
 // Recorder records what is read from a connection, from the first byte of a response on. Its methods may be called
 // concurrently.
 type Recorder struct {
-	mu  sync.Mutex
-	raw []byte
+	mu      sync.Mutex
+	raw     []byte
+	stopped bool
 }
 
-// Write adds bytes to the recording. It never fails.
+// Write adds bytes to the recording, unless it is stopped. It never fails.
 func (r *Recorder) Write(p []byte) (int, error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.raw = append(r.raw, p...)
+	if !r.stopped {
+		r.raw = append(r.raw, p...)
+	}
 	return len(p), nil
 }
 
-// Reset starts a new recording.
-func (r *Recorder) Reset() {
+// Start starts a new recording.
+func (r *Recorder) Start() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.raw, r.stopped = r.raw[:0], false
+}
+
+// Stop ends the recording.
+func (r *Recorder) Stop() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.raw = r.raw[:0]
+	r.stopped = true
 }
 
 // Check removes the first head, interim or final, from the recording. It returns an error if the head is broken. Status and
--- a/io/rawhead/recorder_test.go
+++ b/io/rawhead/recorder_test.go
@@ -14,7 +14,7 @@
 // check reads responses from raw until a final one and returns the first error of a check.
 func check(t *testing.T, rec *rawhead.Recorder, raw string) error {
 	t.Helper()
-	rec.Reset()
+	rec.Start()
 	_, _ = rec.Write([]byte(raw)) // cannot fail
 	r := bufio.NewReader(strings.NewReader(raw))
 	for {
--- a/io/targetconn/targetconn.go
+++ b/io/targetconn/targetconn.go
@@ -21,6 +21,7 @@
 	"mustardmast"
 	"mustardmast/core/fault"
 	"mustardmast/io/orderly"
+	"mustardmast/io/rawhead"
 )
 
 const (
@@ -50,10 +51,10 @@
 )
 
 type conn struct {
-	net.Conn
+	*orderly.Conn
 	r         *bufio.Reader
 	limited   *io.LimitedReader // underlies r; bounds the response head
-	head      *headReader       // underlies limited
+	recorder  rawhead.Recorder  // of response heads
 	idleSince time.Time
 	kept      bool     // has carried an earlier call
 	refused   []string // ids of calls that the target refused on this connection
@@ -133,10 +134,11 @@
 	if err != nil {
 		return nil, err
 	}
-	n = orderly.New(n) // the body of a response may end with the connection
-	head := &headReader{Reader: n}
-	limited := &io.LimitedReader{R: head, N: math.MaxInt64}
-	return &conn{Conn: n, r: bufio.NewReaderSize(limited, readBufferSize), limited: limited, head: head}, nil
+	c := &conn{Conn: orderly.New(n)} // the body of a response may end with the connection
+	c.Record(&c.recorder)
+	c.limited = &io.LimitedReader{R: c.Conn, N: math.MaxInt64}
+	c.r = bufio.NewReaderSize(c.limited, readBufferSize)
+	return c, nil
 }
 
 // Do sends a call to the lifetime of the target with the given id. An error has the outcome not-executed only if the
