io/target, io/peer: broken answers of targets and nodes are rejected

What callers saw: a body without a length that was reset while the request was still being written came as a whole; a body that was not the target's after a blank in the name of a length, before it, or with chunks in HTTP/1.0; a 101. Connections of answers with a broken head were used again.

A node shows progress by interim responses, so their number is not limited for nodes.

--- a/io/outbound/conns.go
+++ b/io/outbound/conns.go
@@ -14,6 +14,8 @@
 	"mustardmast"
 	"mustardmast/core/call"
 	"mustardmast/core/stall"
+	"mustardmast/io/orderly"
+	"mustardmast/io/strict"
 )
 
 const (
@@ -50,7 +52,7 @@
 	if local != nil {
 		c.dialer.LocalAddr = &net.TCPAddr{IP: local}
 	}
-	c.ping = &http.Client{Timeout: pingTimeout, Transport: &http.Transport{DialContext: c.Dial, DisableKeepAlives: true}}
+	c.ping = &http.Client{Timeout: pingTimeout, Transport: strict.New(&http.Transport{DialContext: c.Dial, DisableKeepAlives: true}, strict.MaxInterim)}
 	return c
 }
 
@@ -61,7 +63,7 @@
 		return nil, err
 	}
 	key := stall.ConnID{Peer: mustardmast.NodeID(xxhash.Sum64String(address)), Number: c.lastConnNumber.Add(1)}
-	mc := &monitoredConn{Conn: n, monitor: c, key: key, address: address}
+	mc := &monitoredConn{Conn: orderly.New(n), monitor: c, key: key, address: address}
 	if c.detector.Opened(c.clock.Now(), key) {
 		c.mu.Lock()
 		c.open[key] = mc
@@ -100,7 +102,7 @@
 
 // monitoredConn is a connection that reports received bytes to the detector.
 type monitoredConn struct {
-	net.Conn
+	*orderly.Conn
 	monitor *ConnMonitor
 	key     stall.ConnID
 	address string
--- a/io/peer/client.go
+++ b/io/peer/client.go
@@ -15,12 +15,13 @@
 	"mustardmast/io/header"
 	"mustardmast/io/message"
 	"mustardmast/io/outbound"
+	"mustardmast/io/strict"
 )
 
 // Client sends calls to other nodes.
 type Client struct {
 	clock     mustardmast.Clock
-	transport *http.Transport
+	transport *strict.Transport
 	sender    *outbound.Sender
 	monitor   *outbound.ConnMonitor
 }
@@ -35,14 +36,14 @@
 	monitor := outbound.NewConnMonitor(clock, local, onStalled)
 	var p http.Protocols
 	p.SetHTTP1(true)
-	t := &http.Transport{
+	t := strict.New(&http.Transport{
 		DialContext:           monitor.Dial,
 		Protocols:             &p,
 		MaxIdleConnsPerHost:   maxIdleConnsPerHost,
 		IdleConnTimeout:       90 * time.Second,
 		DisableCompression:    true,
 		ExpectContinueTimeout: time.Second,
-	}
+	}, 0) // a node shows progress by interim responses
 	s := outbound.New(t, fault.PeerUnreachable, fault.PeerLost, "target's node")
 	s.SetMonitor(monitor)
 	return &Client{clock: clock, transport: t, sender: s, monitor: monitor}
--- a/io/target/client.go
+++ b/io/target/client.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"net/url"
 	"time"
@@ -10,30 +11,33 @@
 	"mustardmast/core/fault"
 	"mustardmast/io/header"
 	"mustardmast/io/message"
+	"mustardmast/io/orderly"
 	"mustardmast/io/outbound"
+	"mustardmast/io/strict"
 )
 
-// maxHeadSize is the maximum size in bytes of a response head, with the interim responses before it. The default of
-// net/http would let a faulty target take 10 MB for each call.
+// maxHeadSize is the maximum size in bytes of a response head. The default of net/http would let a faulty target take 10 MB
+// for each call.
 const maxHeadSize = 192 << 10
 
 // Client sends calls to the target on this host. Its methods may be called concurrently.
 type Client struct {
-	transport *http.Transport
+	transport *strict.Transport
 	sender    *outbound.Sender
 }
 
 // NewClient returns a client. It does not limit the number of connections. A target accepts a limited number, but each
 // call uses one connection and the slots limit the number of calls.
 func NewClient() *Client {
-	t := &http.Transport{
+	t := strict.New(&http.Transport{
+		DialContext:           orderly.Dial((&net.Dialer{}).DialContext),
 		MaxIdleConnsPerHost:   1024,
 		IdleConnTimeout:       90 * time.Second,
 		DisableCompression:    true, // bodies are passed on unchanged
 		ExpectContinueTimeout: time.Second,
 
 		MaxResponseHeaderBytes: maxHeadSize,
-	}
+	}, strict.MaxInterim)
 	return &Client{transport: t, sender: outbound.New(t, fault.TargetRefused, fault.TargetFailed, "target")}
 }
 
