client, io/platform, io/operator: answers with a broken head are rejected

What they got: the client returned an answer of a node with the status 000 or a blank in the name of a field to its caller; a 2xx with such a name acknowledged a write to the store, and was read as an object; the command that clears the quarantine took an answer with the status 000 as done.

The client also checks what the parsed head shows if its caller has set a transport.

--- a/client/send.go
+++ b/client/send.go
@@ -16,6 +16,8 @@
 	"mustardmast/core/fault"
 	"mustardmast/core/retry"
 	"mustardmast/io/header"
+	"mustardmast/io/message"
+	"mustardmast/io/strict"
 )
 
 // maxErrorBodyBytes limits how much is read of the body of an error response.
@@ -95,7 +97,10 @@
 		}
 		return nil, inv.client.transportError(ctx, err, connected.Load())
 	}
-	defer func() { _ = res.Body.Close() }() // everything needed was read
+	defer func() { _ = res.Body.Close() }()                               // everything needed was read
+	if err := message.CheckHead(res.StatusCode, res.Header); err != nil { // the transport may be the caller's
+		return nil, exchangeError(ctx, err, fault.PeerLost)
+	}
 	if n, err := strconv.Atoi(res.Header.Get(header.RetryBudget)); err == nil {
 		grant.Return(n)
 	}
@@ -125,11 +130,16 @@
 }
 
 // transportError returns the error of an exchange without a response. The request was certainly not sent only if the
-// dial failed, or if the transport is net/http's, which reports connections, and reported none.
+// dial failed, or if the transport is one that reports connections, and reported none.
 func (c *Client) transportError(ctx context.Context, err error, connected bool) error {
 	var op *net.OpError
 	dialFailed := errors.As(err, &op) && op.Op == "dial"
-	if _, ok := c.settings.Transport.(*http.Transport); dialFailed || ok && !connected {
+	reports := false
+	switch c.settings.Transport.(type) {
+	case *http.Transport, *strict.Transport:
+		reports = true
+	}
+	if dialFailed || reports && !connected {
 		return notSent(ctx, err)
 	}
 	return exchangeError(ctx, err, fault.PeerLost)
--- a/client/settings.go
+++ b/client/settings.go
@@ -9,6 +9,8 @@
 	"github.com/pkg/errors"
 
 	"mustardmast/core/retry"
+	"mustardmast/io/orderly"
+	"mustardmast/io/strict"
 )
 
 // Settings configure a Client. Addresses is required; the zero value of any other field selects its default.
@@ -27,12 +29,12 @@
 
 func (s *Settings) setDefaults() {
 	if s.Transport == nil {
-		s.Transport = &http.Transport{
-			DialContext:         (&net.Dialer{Timeout: time.Second}).DialContext,
+		s.Transport = strict.New(&http.Transport{
+			DialContext:         orderly.Dial((&net.Dialer{Timeout: time.Second}).DialContext),
 			DisableCompression:  true,
 			MaxIdleConnsPerHost: 64,
 			IdleConnTimeout:     time.Minute,
-		}
+		}, strict.MaxInterim)
 	}
 	setDefault(&s.Timeout, 5*time.Second)
 	setDefault(&s.RetryBudget, 3)
--- a/io/operator/client.go
+++ b/io/operator/client.go
@@ -12,6 +12,8 @@
 	"time"
 
 	"mustardmast/core/fault"
+	"mustardmast/io/orderly"
+	"mustardmast/io/strict"
 )
 
 // DefaultTimeout is the time limit of a request to a node.
@@ -38,7 +40,9 @@
 	}
 	transport := http.DefaultTransport.(*http.Transport).Clone()
 	transport.Proxy = nil // nodes are reached directly
-	return &Client{address: address, base: base, http: &http.Client{Timeout: timeout, Transport: transport}}, nil
+	transport.DialContext = orderly.Dial(transport.DialContext)
+	c := &http.Client{Timeout: timeout, Transport: strict.New(transport, strict.MaxInterim)}
+	return &Client{address: address, base: base, http: c}, nil
 }
 
 // Address returns the address that was passed to NewClient.
--- a/io/platform/client.go
+++ b/io/platform/client.go
@@ -24,6 +24,8 @@
 
 	"mustardmast"
 	"mustardmast/core/fault"
+	"mustardmast/io/orderly"
+	"mustardmast/io/strict"
 )
 
 // MaxValueBytes is the maximum size of an object's value in bytes.
@@ -93,7 +95,8 @@
 	if s.Transport == nil {
 		transport := http.DefaultTransport.(*http.Transport).Clone()
 		transport.Proxy = nil // the platform is reached directly
-		s.Transport = transport
+		transport.DialContext = orderly.Dial(transport.DialContext)
+		s.Transport = strict.New(transport, strict.MaxInterim)
 	}
 	// Redirects are not followed, because that would send a write twice.
 	noRedirect := func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
