io/hostlink: a broken reply of another node is rejected

What the entry node did: it took a reply with the status 000 or 1xx, with a blank or a control byte in the name of a field, or with a length below -1 for the answer of a target, and its report for that of the host. A node of this version sends none, but one of the version before, which may still run during an update, passes on what its target has sent.

Cause: the head of a reply was decoded, but not checked.

Its connection takes no further calls. Those in flight go on, and it is closed after the last one: closing it at once would leave their outcomes unknown.

--- a/io/hostlink/conn.go
+++ b/io/hostlink/conn.go
@@ -53,6 +53,7 @@
 	mu           sync.Mutex
 	err          error // why the connection was closed
 	streams      map[uint32]*stream
+	retired      bool // accepts no further streams, and is closed after the last one
 	lastID       uint32
 	lastUsed     time.Time // when the last call ended
 	pingSent     bool
@@ -78,11 +79,11 @@
 	return c
 }
 
-// openStream adds a stream on the dialing side. It returns false if the connection is closed or silent.
+// openStream adds a stream on the dialing side. It returns false if the connection is closed, retired or silent.
 func (c *conn) openStream(s *stream) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.err != nil || c.silent.Load() {
+	if c.err != nil || c.retired || c.silent.Load() {
 		return false
 	}
 	c.lastID++
@@ -117,14 +118,27 @@
 
 func (c *conn) removeStream(s *stream) {
 	c.mu.Lock()
-	defer c.mu.Unlock()
 	delete(c.streams, s.id)
-	if len(c.streams) == 0 {
+	unused := len(c.streams) == 0
+	if unused {
 		c.lastUsed = time.Now()
 		if c.usage != nil {
 			c.usage.Waiting()
 		}
 	}
+	retired := c.retired
+	c.mu.Unlock()
+	if unused && retired {
+		c.fail(errProtocol)
+	}
+}
+
+// retire keeps further calls off the connection, because its peer has sent a broken reply. Those in flight go on: another
+// error would leave their outcomes unknown.
+func (c *conn) retire() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.retired = true
 }
 
 // keep makes a stream stay open while the connection is silent.
--- a/io/hostlink/conn_test.go
+++ b/io/hostlink/conn_test.go
@@ -61,9 +61,10 @@
 	assert.Assert(t, time.Since(began) < 3*time.Second, "%v", time.Since(began))
 }
 
-// countingListener counts received bytes and closed connections.
+// countingListener counts connections, received bytes and closed connections.
 type countingListener struct {
 	net.Listener
+	accepted atomic.Int64
 	received atomic.Int64
 	closed   atomic.Int64
 }
@@ -73,6 +74,7 @@
 	if err != nil {
 		return nil, err
 	}
+	l.accepted.Add(1)
 	return &countingConn{Conn: c, listener: l}, nil
 }
 
