--- a/io/targetconn/targetconn_test.go
+++ b/io/targetconn/targetconn_test.go
@@ -316,3 +316,28 @@
 		assert.Equal(t, fault.From(err).Outcome(), fault.Unknown, "%q", whole[:cut])
 	}
 }
+
+// Guards against a probe that takes a broken response for one of the target, with its lifetime and load.
+func TestBrokenResponseToProbe(t *testing.T) {
+	for name, answer := range map[string]string{
+		"status 000":               "HTTP/1.1 000 \r\nLifetime: i-2\r\n\r\nHTTP/1.1 200 OK\r\nLifetime: i-2\r\n\r\n",
+		"status 101":               "HTTP/1.1 101 Switching Protocols\r\n\r\nHTTP/1.1 200 OK\r\nLifetime: i-2\r\n\r\n",
+		"blank in a name":          "HTTP/1.1 200 OK\r\nLifetime: i-2\r\nX Y: z\r\n\r\n",
+		"blank before a name":      "HTTP/1.1 200 OK\r\nX: y\r\n Z: z\r\nLifetime: i-2\r\n\r\n",
+		"control byte in a name":   "HTTP/1.1 200 OK\r\nLifetime: i-2\r\nX\x01Y: z\r\n\r\n",
+		"blank in a name of a 1xx": "HTTP/1.1 103 Early Hints\r\nX Y: z\r\n\r\nHTTP/1.1 200 OK\r\nLifetime: i-2\r\n\r\n",
+		"not healthy":              "HTTP/1.1 503 Service Unavailable\r\nLifetime: i-2\r\nX Y: z\r\n\r\n",
+		"cut":                      "HTTP/1.1 200 OK\r\nLifetime: i-2\r\n",
+	} {
+		s := newTarget(t, func(_ int, c net.Conn, r *bufio.Reader) {
+			if _, _, err := readRequest(r); err == nil {
+				_, _ = io.WriteString(c, answer)
+			}
+		})
+		ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+		h, err := newPool(s).Probe(ctx, "/healthz")
+		cancel()
+		assert.Check(t, fault.KindOf(err) == fault.TargetFailed, "%s: %v", name, err)
+		assert.Check(t, h == nil, "%s: %v", name, h)
+	}
+}
