io/strict: a malformed interim response ends its request

What a client of another node saw: after a malformed interim response its request read on, for as long as the peer sent further ones, and was rejected only then.

Cause: the check's error was returned to net/http from a hook. If the request has a trace with the same hook, as the requests between nodes have, net/http takes the result of that one, which is no error.

Fix: strict.Transport closes the connection at the first malformed response, so that the request ends, and returns the reason.

The rest changes no behaviour: malformed and truncated in place of broken, one limit for interim responses, the check of a reply beside its codec.

--- a/client/send.go
+++ b/client/send.go
@@ -97,8 +97,9 @@
 		}
 		return nil, inv.client.transportError(ctx, err, connected.Load())
 	}
-	defer func() { _ = res.Body.Close() }()                               // everything needed was read
-	if err := message.CheckHead(res.StatusCode, res.Header); err != nil { // the transport may be the caller's
+	defer func() { _ = res.Body.Close() }() // everything needed was read
+	// The transport may be the caller's, and check nothing.
+	if err := message.CheckHead(res.StatusCode, res.Header); err != nil {
 		return nil, exchangeError(ctx, err, fault.PeerLost)
 	}
 	if n, err := strconv.Atoi(res.Header.Get(header.RetryBudget)); err == nil {
--- a/client/settings.go
+++ b/client/settings.go
@@ -10,6 +10,7 @@
 
 	"mustardmast/core/retry"
 	"mustardmast/io/orderly"
+	"mustardmast/io/rawhead"
 	"mustardmast/io/strict"
 )
 
@@ -34,7 +35,7 @@
 			DisableCompression:  true,
 			MaxIdleConnsPerHost: 64,
 			IdleConnTimeout:     time.Minute,
-		}, strict.MaxInterim)
+		}, rawhead.MaxInterim)
 	}
 	setDefault(&s.Timeout, 5*time.Second)
 	setDefault(&s.RetryBudget, 3)
--- a/io/hostlink/client.go
+++ b/io/hostlink/client.go
@@ -24,10 +24,7 @@
 	"mustardmast/io/message"
 )
 
-const (
-	dialTimeout   = 300 * time.Millisecond // round trips within a region take milliseconds
-	unknownLength = -1                     // bytes, of a body
-)
+const dialTimeout = 300 * time.Millisecond // round trips within a region take milliseconds
 
 // Client sends calls and gossip messages to other nodes. Its methods may be called concurrently.
 type Client struct {
@@ -188,13 +185,9 @@
 
 func (c *Client) reply(ctx context.Context, s *stream, r reply) (*mustardmast.TargetReply, mustardmast.TargetReport, bool, error) {
 	out, report, remoteErr, err := decodeReply(r.head)
-	if err == nil && out != nil {
-		err = checkReply(out)
-	}
 	if err != nil {
 		s.conn.retire()
-	}
-	if err == nil && remoteErr != nil {
+	} else {
 		err = remoteErr
 	}
 	if err != nil {
@@ -211,22 +204,6 @@
 	return out, report, true, nil
 }
 
-// checkReply returns an error if a reply is not the final response of a target. A node sends none that is broken, but an
-// older one may pass it on.
-func checkReply(r *mustardmast.TargetReply) error {
-	err := message.CheckHead(r.Status, r.Header)
-	switch {
-	case err == nil && r.Status < http.StatusOK:
-		err = errors.Errorf("response status: expected at least 200, got %d", r.Status)
-	case err == nil && r.Length < unknownLength:
-		err = errors.Errorf("response length: expected at least %d, got %d", unknownLength, r.Length)
-	}
-	if err != nil {
-		return fault.Wrap(err, fault.TargetFailed, "reply of peer node")
-	}
-	return nil
-}
-
 // replyBody is the body of a reply that spans several frames.
 type replyBody struct {
 	stream *stream
--- a/io/hostlink/codec.go
+++ b/io/hostlink/codec.go
@@ -9,6 +9,7 @@
 
 	"mustardmast"
 	"mustardmast/core/fault"
+	"mustardmast/io/message"
 )
 
 // Bits of the flags of a call.
@@ -30,6 +31,9 @@
 // headerCountHint is an upper bound on the number of fields in most headers.
 const headerCountHint = 32
 
+// unknownLength is the length in bytes of a body that states none.
+const unknownLength = -1
+
 // headSizeHint is an upper bound on the size in bytes of most encoded heads.
 const headSizeHint = 512
 
@@ -218,7 +222,8 @@
 	return e.data
 }
 
-// decodeReply decodes the head of a reply. RemoteErr is the error of the executing node, nil if the target replied.
+// decodeReply decodes the head of a reply. RemoteErr is the error of the executing node, nil if the target replied. A reply
+// that is malformed is an error.
 func decodeReply(head []byte) (reply *mustardmast.TargetReply, report mustardmast.TargetReport, remoteErr, err error) {
 	d := decoder{data: string(head)}
 	report = decodeReport(&d)
@@ -242,5 +247,26 @@
 	if d.err != nil {
 		return nil, mustardmast.TargetReport{}, nil, fault.Wrap(d.err, fault.PeerLost, "decoding reply of peer node")
 	}
+	if reply != nil {
+		if err := checkReply(reply); err != nil {
+			return nil, mustardmast.TargetReport{}, nil, err
+		}
+	}
 	return reply, report, remoteErr, nil
 }
+
+// checkReply returns an error if a reply is not a final response of HTTP. A node of an older version may pass one on that is
+// malformed.
+func checkReply(r *mustardmast.TargetReply) error {
+	err := message.CheckHead(r.Status, r.Header)
+	switch {
+	case err == nil && r.Status < http.StatusOK:
+		err = errors.Errorf("response status: expected at least 200, got %d", r.Status)
+	case err == nil && r.Length < unknownLength:
+		err = errors.Errorf("response length: expected at least %d, got %d", unknownLength, r.Length)
+	}
+	if err != nil {
+		return fault.Wrap(err, fault.TargetFailed, "reply of peer node")
+	}
+	return nil
+}
--- a/io/message/head.go
+++ b/io/message/head.go
@@ -8,8 +8,8 @@
 
 const maxStatus = 999
 
-// CheckHead returns an error if the status or the name of a field makes the head of a response, interim or final, none of
-// HTTP. Package net/http accepts a status below 100 and blanks in names.
+// CheckHead returns an error if the status or a field name is not valid in the head of a response, interim or final. Package
+// net/http accepts a status below 100, and spaces in names.
 func CheckHead(status int, h http.Header) error {
 	if status < http.StatusContinue || status > maxStatus {
 		return fmt.Errorf("response status: expected 100 to %d, got %03d", maxStatus, status)
@@ -19,13 +19,13 @@
 	}
 	for name := range h {
 		if !isToken(name) {
-			return fmt.Errorf("response head: expected the name of a field, got %q", name)
+			return fmt.Errorf("response head: expected a field name, got %q", name)
 		}
 	}
 	return nil
 }
 
-// isToken reports whether s is a token of HTTP, as each name of a field is.
+// isToken reports whether s is a token of HTTP, as each field name is.
 func isToken(s string) bool {
 	for i := range len(s) {
 		c := s[i]
--- a/io/operator/client.go
+++ b/io/operator/client.go
@@ -13,6 +13,7 @@
 
 	"mustardmast/core/fault"
 	"mustardmast/io/orderly"
+	"mustardmast/io/rawhead"
 	"mustardmast/io/strict"
 )
 
@@ -41,7 +42,7 @@
 	transport := http.DefaultTransport.(*http.Transport).Clone()
 	transport.Proxy = nil // nodes are reached directly
 	transport.DialContext = orderly.Dial(transport.DialContext)
-	c := &http.Client{Timeout: timeout, Transport: strict.New(transport, strict.MaxInterim)}
+	c := &http.Client{Timeout: timeout, Transport: strict.New(transport, rawhead.MaxInterim)}
 	return &Client{address: address, base: base, http: c}, nil
 }
 
--- a/io/orderly/conn.go
+++ b/io/orderly/conn.go
@@ -96,9 +96,10 @@
 	c.record = w
 }
 
-// endWrites ends the writes in progress and returns the error by which any write has found the connection broken.
+// endWrites ends the writes in progress and returns the error by which any write has found the connection broken. It waits
+// for them, since one that the kernel has told the error may not have recorded it yet.
 func (c *Conn) endWrites() error {
-	// A write that has got the error has left the kernel; one that still waits for the peer to read would wait on.
+	// The deadline ends the writes that wait for the peer to read.
 	if err := c.SetWriteDeadline(time.Unix(0, 1)); err != nil {
 		return err
 	}
--- a/io/outbound/conns.go
+++ b/io/outbound/conns.go
@@ -15,6 +15,7 @@
 	"mustardmast/core/call"
 	"mustardmast/core/stall"
 	"mustardmast/io/orderly"
+	"mustardmast/io/rawhead"
 	"mustardmast/io/strict"
 )
 
@@ -52,7 +53,7 @@
 	if local != nil {
 		c.dialer.LocalAddr = &net.TCPAddr{IP: local}
 	}
-	c.ping = &http.Client{Timeout: pingTimeout, Transport: strict.New(&http.Transport{DialContext: c.Dial, DisableKeepAlives: true}, strict.MaxInterim)}
+	c.ping = &http.Client{Timeout: pingTimeout, Transport: strict.New(&http.Transport{DialContext: c.Dial, DisableKeepAlives: true}, rawhead.MaxInterim)}
 	return c
 }
 
--- a/io/platform/client.go
+++ b/io/platform/client.go
@@ -25,6 +25,7 @@
 	"mustardmast"
 	"mustardmast/core/fault"
 	"mustardmast/io/orderly"
+	"mustardmast/io/rawhead"
 	"mustardmast/io/strict"
 )
 
@@ -96,7 +97,7 @@
 		transport := http.DefaultTransport.(*http.Transport).Clone()
 		transport.Proxy = nil // the platform is reached directly
 		transport.DialContext = orderly.Dial(transport.DialContext)
-		s.Transport = strict.New(transport, strict.MaxInterim)
+		s.Transport = strict.New(transport, rawhead.MaxInterim)
 	}
 	// Redirects are not followed, because that would send a write twice.
 	noRedirect := func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
--- a/io/rawhead/recorder.go
+++ b/io/rawhead/recorder.go
@@ -1,5 +1,5 @@
-// Package rawhead checks the heads of HTTP/1 responses by their bytes. Package net/http accepts heads that are broken, and
-// does not show all of that in what it returns.
+// Package rawhead checks the heads of HTTP/1 responses by their bytes. Package net/http accepts some malformed heads, and
+// does not show in what it returns how all of them were malformed.
 package rawhead
 
 import (
@@ -14,6 +14,9 @@
 	"mustardmast/io/message"
 )
 
+// MaxInterim is the number of interim responses after which a client does not wait for the final one.
+const MaxInterim = 32
+
 // maxSpare is the size in bytes up to which the memory of a head is used again.
 const maxSpare = 4 << 10
 
@@ -49,8 +52,8 @@
 	r.stopped = true
 }
 
-// Check removes the first head, interim or final, from the recording. It returns an error if the head is broken. Status and
-// h are what net/http has read from it.
+// Check removes the first head, interim or final, from the recording. It returns an error if the head is malformed. Status
+// and h are what net/http has read from it.
 func (r *Recorder) Check(status int, h http.Header) error {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -70,7 +73,7 @@
 	return err
 }
 
-// checkFields checks what net/http drops when it reads the fields of a head. It returns what follows the head.
+// checkFields checks what net/http does not show of the fields of a head. It returns what follows the head.
 func checkFields(fields []byte, http10 bool) ([]byte, error) {
 	for {
 		line, rest, _ := bytes.Cut(fields, []byte("\n"))
@@ -79,8 +82,8 @@
 		case len(bytes.TrimSuffix(line, []byte("\r"))) == 0:
 			return rest, nil
 		case line[0] == ' ' || line[0] == '\t':
-			// An obsolete line folding, or a name that begins with a blank. RFC 9112, section 5.2, lets a gateway reject both.
-			return nil, fmt.Errorf("response head: expected the name of a field, got %q", line)
+			// An obsolete line folding, or a name that begins with a space. RFC 9112, section 5.2, lets a gateway reject both.
+			return nil, fmt.Errorf("response head: expected a field name, got %q", line)
 		case http10 && isField && strings.EqualFold(string(name), "Transfer-Encoding"):
 			return nil, errors.New("response with Transfer-Encoding in HTTP/1.0, which has none")
 		}
--- a/io/rawhead/recorder_test.go
+++ b/io/rawhead/recorder_test.go
@@ -26,7 +26,7 @@
 	}
 }
 
-// Guards against a broken head that net/http accepts, and against rejecting a head for what comes before or after it.
+// Guards against a malformed head that net/http accepts, and against rejecting a head for what comes before or after it.
 func TestCheck(t *testing.T) {
 	var rec rawhead.Recorder
 	for raw, want := range map[string]string{
@@ -36,9 +36,9 @@
 		"HTTP/1.0 200 OK\r\nContent-Length: 1\r\n\r\nTransfer-Encoding: chunked\r\n":        "",
 		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n":                    "",
 		"HTTP/1.1 103 Early\r\nA: b\r\n\r\nHTTP/1.1 100 \r\n\r\nHTTP/1.1 200 OK\r\n\r\n  x": "",
-		"HTTP/1.1 103 Early\r\nA: b\r\n c\r\n\r\nHTTP/1.1 200 OK\r\n\r\n":                   `expected the name of a field, got " c`,
-		"HTTP/1.1 103 Early\r\n\r\nHTTP/1.1 200 OK\r\nA: b\r\n\tc: d\r\n\r\n":               `expected the name of a field, got "\tc: d`,
-		"HTTP/1.1 200 OK\r\nA : b\r\n\r\n":                                                  `expected the name of a field, got "A "`,
+		"HTTP/1.1 103 Early\r\nA: b\r\n c\r\n\r\nHTTP/1.1 200 OK\r\n\r\n":                   `expected a field name, got " c`,
+		"HTTP/1.1 103 Early\r\n\r\nHTTP/1.1 200 OK\r\nA: b\r\n\tc: d\r\n\r\n":               `expected a field name, got "\tc: d`,
+		"HTTP/1.1 200 OK\r\nA : b\r\n\r\n":                                                  `expected a field name, got "A "`,
 		"HTTP/1.1 000 \r\n\r\n":                                                             "got 000",
 		"HTTP/1.1 101 \r\n\r\n":                                                             "status 101",
 		"HTTP/2.0 200 OK\r\n\r\n":                                                           "response version",
--- a/io/strict/transport.go
+++ b/io/strict/transport.go
@@ -1,6 +1,7 @@
-// Package strict is an HTTP/1 transport that returns no broken response.
+// Package strict is an HTTP/1 transport that returns neither a malformed response nor, as a complete one, one that was
+// truncated.
 //
-// Package net/http accepts responses whose head is not one of HTTP, and takes a reset during a request for the end of a
+// Package net/http accepts some malformed heads, and can take a connection that breaks during a request for the end of a
 // body without a length.
 package strict
 
@@ -17,18 +18,15 @@
 	"mustardmast/io/rawhead"
 )
 
-// MaxInterim is the number of interim responses that precede a response of most peers at most.
-const MaxInterim = 32
-
-// Transport rejects broken responses of a transport of net/http. A rejected response is an error, and its connection is not
+// Transport rejects malformed responses of a transport of net/http. A rejected response is an error, and its connection is not
 // used again. Its methods may be called concurrently.
 type Transport struct {
 	base       *http.Transport
 	maxInterim int
 }
 
-// New returns a transport that rejects broken responses of base, and those that follow more than maxInterim interim
-// responses; 0 is for no limit. The connections of base must be those of package orderly.
+// New returns a transport that uses base and also rejects a response after more than maxInterim interim ones; 0 is for no
+// limit. Base must open its connections by orderly.Dial, or such that they embed an orderly.Conn.
 func New(base *http.Transport, maxInterim int) *Transport {
 	return &Transport{base: base, maxInterim: maxInterim}
 }
@@ -43,11 +41,10 @@
 	ctx := httptrace.WithClientTrace(r.Context(), &httptrace.ClientTrace{GotConn: x.gotConn, Got1xxResponse: x.gotInterim})
 	resp, err := t.base.RoundTrip(r.WithContext(ctx))
 	if err != nil {
-		return nil, err
+		return nil, x.cause(err)
 	}
 	if err := x.gotFinal(resp); err != nil {
-		x.closeConn() // without a body, the transport has kept the connection
-		_ = resp.Body.Close()
+		_ = resp.Body.Close() // the response is not used
 		return nil, err
 	}
 	resp.Request = r
@@ -62,7 +59,7 @@
 	conn     net.Conn
 	recorder *rawhead.Recorder // of conn; nil if the bytes of the responses are not recorded
 	interim  int
-	err      error // of the first broken interim response
+	err      error // why the responses are rejected
 }
 
 // gotConn records the connection that is assigned to the request. It is called again if the transport changes it.
@@ -76,39 +73,51 @@
 	}
 }
 
-// gotInterim checks an interim response. An error of it would be lost if the request has a trace of its own.
+// gotInterim checks an interim response.
 func (x *exchange) gotInterim(status int, h textproto.MIMEHeader) error {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	if x.err == nil {
-		x.err = x.check(status, http.Header(h))
+	x.check(status, http.Header(h))
+	if x.interim++; x.maxInterim > 0 && x.interim > x.maxInterim {
+		x.reject(fmt.Errorf("more than %d interim responses", x.maxInterim))
 	}
-	if x.interim++; x.err == nil && x.maxInterim > 0 && x.interim > x.maxInterim {
-		x.err = fmt.Errorf("more than %d interim responses", x.maxInterim)
-	}
-	return x.err
+	return x.err // lost if the request has a trace of its own
 }
 
 func (x *exchange) gotFinal(resp *http.Response) error {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	if x.err != nil {
-		return x.err
+	x.check(resp.StatusCode, resp.Header)
+	return x.err
+}
+
+// check rejects the responses if a head is malformed. The caller must hold the lock.
+func (x *exchange) check(status int, h http.Header) {
+	err := message.CheckHead(status, h)
+	if x.recorder != nil {
+		err = x.recorder.Check(status, h)
+	}
+	if err != nil {
+		x.reject(err)
 	}
-	return x.check(resp.StatusCode, resp.Header)
 }
 
-func (x *exchange) check(status int, h http.Header) error {
-	if x.recorder == nil {
-		return message.CheckHead(status, h)
+// reject closes the connection, which the transport keeps after a response without a body. The caller must hold the lock.
+func (x *exchange) reject(err error) {
+	if x.err == nil {
+		x.err = err
 	}
-	return x.recorder.Check(status, h)
+	_ = x.conn.Close() // its responses are not used
 }
 
-func (x *exchange) closeConn() {
+// cause returns why the responses were rejected, or else the error of the transport.
+func (x *exchange) cause(err error) error {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	_ = x.conn.Close() // nobody uses it
+	if x.err != nil {
+		return x.err
+	}
+	return err
 }
 
 // stop ends the recording.
--- a/io/strict/transport_test.go
+++ b/io/strict/transport_test.go
@@ -108,3 +108,28 @@
 		}
 	}
 }
+
+// Guards against a request that reads on after a malformed interim response, for as long as its peer sends further ones.
+func TestMalformedInterimResponseEndsRequest(t *testing.T) {
+	for _, traced := range []bool{false, true} {
+		ended := make(chan bool, 1) // whether the peer could send all responses
+		address := serve(t, func(c *net.TCPConn) {
+			_, err := io.WriteString(c, "HTTP/1.1 102 Processing\r\nX Y: z\r\n\r\n")
+			for n := 0; n < 100 && err == nil; n++ {
+				time.Sleep(10 * time.Millisecond)
+				_, err = io.WriteString(c, "HTTP/1.1 102 Processing\r\n\r\n")
+			}
+			ended <- err == nil
+		})
+		r, err := http.NewRequest("GET", address, nil)
+		assert.NilError(t, err)
+		if traced {
+			r = r.WithContext(httptrace.WithClientTrace(r.Context(), &httptrace.ClientTrace{
+				Got1xxResponse: func(int, textproto.MIMEHeader) error { return nil },
+			}))
+		}
+		_, err = newTransport(t, 0).RoundTrip(r)
+		assert.ErrorContains(t, err, `"X Y"`, "traced %v", traced)
+		assert.Assert(t, !<-ended, "traced %v: the request read all responses", traced)
+	}
+}
--- a/io/target/client.go
+++ b/io/target/client.go
@@ -13,6 +13,7 @@
 	"mustardmast/io/message"
 	"mustardmast/io/orderly"
 	"mustardmast/io/outbound"
+	"mustardmast/io/rawhead"
 	"mustardmast/io/strict"
 )
 
@@ -37,7 +38,7 @@
 		ExpectContinueTimeout: time.Second,
 
 		MaxResponseHeaderBytes: maxHeadSize,
-	}, strict.MaxInterim)
+	}, rawhead.MaxInterim)
 	return &Client{transport: t, sender: outbound.New(t, fault.TargetRefused, fault.TargetFailed, "target")}
 }
 
--- a/io/targetconn/head.go
+++ b/io/targetconn/head.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"math"
 	"net/http"
+
+	"mustardmast/io/rawhead"
 )
 
 // readHead reads the head of the next response and skips interim responses.
@@ -13,7 +15,7 @@
 	buffered, _ := cn.r.Peek(cn.r.Buffered()) // cannot fail
 	_, _ = cn.recorder.Write(buffered)        // cannot fail
 	defer func() { cn.limited.N = math.MaxInt64 }()
-	for range maxInterimResponses {
+	for range rawhead.MaxInterim {
 		cn.limited.N = maxHeadSize
 		resp, err := http.ReadResponse(cn.r, request)
 		if err != nil {
@@ -26,5 +28,5 @@
 			return resp, nil
 		}
 	}
-	return nil, fmt.Errorf("more than %d interim responses", maxInterimResponses)
+	return nil, fmt.Errorf("more than %d interim responses", rawhead.MaxInterim)
 }
--- a/io/targetconn/targetconn.go
+++ b/io/targetconn/targetconn.go
@@ -43,8 +43,6 @@
 	maxStaleResponses = 4
 	// maxStaleBody is the size in bytes of the largest body of such a response that is skipped.
 	maxStaleBody = 1 << 20
-	// maxInterimResponses is the maximum number of responses with a status below 200 that precede a response.
-	maxInterimResponses = 32
 	// maxRefusedIDs is the number of refused calls after which a connection is not kept.
 	maxRefusedIDs = 16
 	maxIdleConns  = 512
