core/fault: target-failed names malformed answers

What callers and operators read: target-failed is "the connection to the target broke". An answer that is rejected for its head has this kind too, so whoever got it looked for a broken connection only.

Fix: it names both.

TestMeaningOfTargetFailed failed before ("names no cause malformed") and passes now. Only the text changes.

--- a/core/fault/kind.go
+++ b/core/fault/kind.go
@@ -108,7 +108,7 @@
 	WrongIncarnation:     {"wrong-incarnation", http.StatusMisdirectedRequest, NotExecuted, true, "the call was addressed to an earlier process on this address"},
 	Fenced:               {"fenced", http.StatusConflict, NotExecuted, false, "the owner of the request has withdrawn this attempt"},
 	Quarantined:          {"quarantined", http.StatusUnprocessableEntity, NotExecuted, false, "requests like this one have crashed targets"},
-	TargetFailed:         {"target-failed", http.StatusBadGateway, Unknown, false, "the connection to the target broke"},
+	TargetFailed:         {"target-failed", http.StatusBadGateway, Unknown, false, "the connection to the target broke, or its answer is malformed"},
 	TargetRefused:        {"target-refused", http.StatusServiceUnavailable, NotExecuted, true, "the target refused before it started"},
 	AnswerCut:            {"answer-cut", http.StatusBadGateway, Unknown, false, "the answer broke off before its end"},
 	PeerUnreachable:      {"peer-unreachable", http.StatusServiceUnavailable, NotExecuted, true, "no connection to the target's node"},
--- a/core/fault/kind_test.go
+++ b/core/fault/kind_test.go
@@ -25,6 +25,14 @@
 	}
 }
 
+// Guards against a caller or an operator who is told of a broken connection only, where the answer of a target was malformed.
+func TestMeaningOfTargetFailed(t *testing.T) {
+	meaning := fault.TargetFailed.Properties().Meaning
+	for _, cause := range []string{"connection", "malformed"} {
+		assert.Assert(t, strings.Contains(meaning, cause), "%q names no cause %q", meaning, cause)
+	}
+}
+
 // Guards against an error kind that callers can receive but that the documentation does not list.
 func TestPageListsEveryKind(t *testing.T) {
 	page, err := os.ReadFile("../../docs/errors.md")
