sidecar: resets at other moments in the test of a reset during an upload

TestBodyResetDuringUpload also resets at once and after 1 ms, and by a close while data is unread.

The stand-in now closes when there is unread data.

--- a/sidecar/brokenanswer_test.go
+++ b/sidecar/brokenanswer_test.go
@@ -9,6 +9,7 @@
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -51,16 +52,19 @@
 	return clientAnswer{status: resp.StatusCode, header: resp.Header, body: string(body), whole: err == nil && framed}
 }
 
+// readTime is the time for a node to read an answer.
+const readTime = 20 * time.Millisecond
+
 // rawAnswer returns a handler that answers at once, without reading the request, with the given bytes, in which $id stands
-// for the id of the request. Then it ends the connection.
-func rawAnswer(answer string, end func(net.Conn)) http.HandlerFunc {
+// for the id of the request. It ends the connection some time later.
+func rawAnswer(answer string, wait time.Duration, end func(net.Conn)) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
 		c, _, err := http.NewResponseController(w).Hijack()
 		if err != nil {
 			return
 		}
 		_, _ = io.WriteString(c, strings.ReplaceAll(answer, "$id", r.Header.Get("Attempt-Id")))
-		time.Sleep(20 * time.Millisecond) // until the node has read it
+		time.Sleep(wait)
 		end(c)
 	}
 }
@@ -77,15 +81,35 @@
 	return c.add("ledger", "a"), c.add("board", "a")
 }
 
+// closeUnread closes a connection once data has come that is not read. The kernel then resets it.
+func closeUnread(c net.Conn) {
+	raw, err := c.(*net.TCPConn).SyscallConn()
+	if err != nil {
+		return
+	}
+	_ = raw.Read(func(fd uintptr) bool { // fails if the connection has ended
+		_, _, err := syscall.Recvfrom(int(fd), make([]byte, 1), syscall.MSG_PEEK)
+		return err != syscall.EAGAIN
+	})
+	_ = c.Close()
+}
+
 // Guards against a body without a length that ends with a reset, while the request is still being written, and reaches the
 // client as a complete answer.
 func TestBodyResetDuringUpload(t *testing.T) {
 	near, far := newUploadCluster(t)
-	near.target.setHandler(rawAnswer("HTTP/1.1 200 OK\r\nAttempt-Id: $id\r\n\r\npart of the body", abort))
-	for _, entry := range []*host{near, far} {
-		for range 20 {
-			got := entry.exchange("POST", "/ledger/", maxUpload)
-			assert.Check(t, got.status != http.StatusOK || !got.whole, "%+v", got)
+	for name, end := range map[string]func(net.Conn){
+		"reset":              abort,
+		"close, data unread": closeUnread,
+	} {
+		for _, wait := range []time.Duration{0, time.Millisecond, readTime} {
+			near.target.setHandler(rawAnswer("HTTP/1.1 200 OK\r\nAttempt-Id: $id\r\n\r\npart of the body", wait, end))
+			for _, entry := range []*host{near, far} {
+				for range 10 {
+					got := entry.exchange("POST", "/ledger/", maxUpload)
+					assert.Check(t, got.status != http.StatusOK || !got.whole, "%s after %v: %+v", name, wait, got)
+				}
+			}
 		}
 	}
 }
@@ -131,7 +155,7 @@
 	var reused atomic.Bool
 	for name, answer := range brokenHeads {
 		var answers sync.WaitGroup
-		handler := rawAnswer(answer, func(c net.Conn) {
+		handler := rawAnswer(answer, readTime, func(c net.Conn) {
 			_ = c.SetReadDeadline(time.Now().Add(100 * time.Millisecond)) // if it fails, the read below does
 			raw, _ := io.ReadAll(c)
 			if strings.Contains(string(raw), " HTTP/1.1\r\n") {
@@ -191,7 +215,7 @@
 				continue // this is how such a body ends
 			}
 			for _, interim := range []string{"", "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n"} {
-				near.target.setHandler(rawAnswer(interim+answerHead+body, end))
+				near.target.setHandler(rawAnswer(interim+answerHead+body, readTime, end))
 				for _, entry := range []*host{near, far} {
 					for _, upload := range bodyUploads {
 						got := entry.exchange("POST", "/ledger/", upload)
@@ -219,7 +243,7 @@
 					continue
 				}
 				for _, interim := range []string{"", "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n"} {
-					near.target.setHandler(rawAnswer(interim+answerHead+answer, end))
+					near.target.setHandler(rawAnswer(interim+answerHead+answer, readTime, end))
 					for _, entry := range []*host{near, far} {
 						for _, upload := range bodyUploads {
 							got := entry.exchange("POST", "/ledger/", upload)
